--- /dev/null
+++ b/daemons/host_settings.h
@@ -0,0 +1,32 @@
+#ifndef BANYANKNOT_DAEMONS_HOST_SETTINGS_H_
+#define BANYANKNOT_DAEMONS_HOST_SETTINGS_H_
+
+#include <string>
+#include <vector>
+
+#include "banyanknot/coordination/entry_decoder.h"
+#include "banyanknot/state/endpoint.h"
+#include "banyanknot/state/identifier.h"
+#include "banyanknot/state/result.h"
+
+namespace banyanknot::daemons {
+
+/// \brief What one host is told at its start: who it is and where it listens.
+struct HostSettings {
+  state::HostId id;
+  state::FailureDomainId domain;
+  state::Endpoint caller_listen;
+  state::Endpoint peer_listen;
+  state::Endpoint platform;
+  std::size_t threads = 2;
+};
+
+using HostSettingsResult =
+    state::Result<HostSettings, std::vector<coordination::EntryFault>>;
+
+/// \brief Reads the settings file of a host.
+HostSettingsResult ReadHostSettings(const std::string& file);
+
+}  // namespace banyanknot::daemons
+
+#endif  // BANYANKNOT_DAEMONS_HOST_SETTINGS_H_
--- /dev/null
+++ b/include/banyanknot/coordination/coordination_error.h
@@ -0,0 +1,37 @@
+#ifndef BANYANKNOT_COORDINATION_COORDINATION_ERROR_H_
+#define BANYANKNOT_COORDINATION_COORDINATION_ERROR_H_
+
+#include <array>
+#include <string_view>
+
+#include "banyanknot/state/enum_names.h"
+
+namespace banyanknot::coordination {
+
+/// \brief Errors of the coordination layer.
+enum class CoordinationError {
+  kUnavailable,  ///< the other side can't be reached now
+  kMalformed,    ///< the other side's message makes no sense
+  kRejected,     ///< the other side refused
+  kTimeout,      ///< no reply in time
+  kStopping,     ///< this host is shutting down
+};
+
+/// \brief Names of CoordinationError, as they stand in messages and logs.
+inline constexpr std::array<state::EnumName<CoordinationError>, 5>
+    kCoordinationErrorNames{{
+        {CoordinationError::kUnavailable, "unavailable"},
+        {CoordinationError::kMalformed, "malformed"},
+        {CoordinationError::kRejected, "rejected"},
+        {CoordinationError::kTimeout, "timeout"},
+        {CoordinationError::kStopping, "stopping"},
+    }};
+
+/// \brief Returns the name of a CoordinationError.
+constexpr std::string_view NameOf(CoordinationError value) {
+  return state::FindName(kCoordinationErrorNames, value);
+}
+
+}  // namespace banyanknot::coordination
+
+#endif  // BANYANKNOT_COORDINATION_COORDINATION_ERROR_H_
--- /dev/null
+++ b/include/banyanknot/coordination/peer_message.h
@@ -0,0 +1,124 @@
+#ifndef BANYANKNOT_COORDINATION_PEER_MESSAGE_H_
+#define BANYANKNOT_COORDINATION_PEER_MESSAGE_H_
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "banyanknot/state/host_record.h"
+#include "banyanknot/state/server_phase.h"
+
+namespace banyanknot::coordination {
+
+/// \brief What one host tells another of a third.
+struct HostRumour {
+  state::ListedHost host;
+  std::uint64_t incarnation = 0;
+  state::HostState host_state = state::HostState::kAlive;
+};
+
+/// \brief What one host tells another of a backend server.
+struct ServerNote {
+  state::ServerId server;
+  state::InstanceId instance;
+  state::ServerPhase phase = state::ServerPhase::kUnknown;
+  state::Duration age{0};  ///< time since it entered that phase
+};
+
+/// \brief Sums up a catalogue, so that two hosts can see whether they agree.
+struct CatalogueDigest {
+  std::uint64_t max_revision = 0;
+  std::uint64_t hash = 0;  ///< over key, revision and content of all entries
+};
+
+/// \brief Which version of an entry a host has.
+struct EntryVersion {
+  std::string key;
+  std::uint64_t revision = 0;
+  std::uint64_t content_hash = 0;
+};
+
+/// \brief One entry, whole or as a change of an earlier version.
+struct EntryPatch {
+  std::string key;
+  std::uint64_t revision = 0;
+  bool deleted = false;
+  std::uint64_t base_revision = 0;  ///< 0 if `text` is the whole entry
+  std::uint32_t kept_prefix = 0;    ///< bytes of the base before `text`
+  std::uint32_t kept_suffix = 0;    ///< bytes of the base after `text`
+  std::uint64_t content_hash = 0;   ///< of the whole text of the new version
+  std::string text;
+};
+
+/// \brief Heartbeat; carries rumours and the sender's digest.
+struct PeerPing {
+  std::uint64_t sequence = 0;
+  state::ListedHost sender;
+  CatalogueDigest digest;
+  std::vector<HostRumour> rumours;
+  std::vector<ServerNote> notes;
+};
+
+/// \brief Reply to a PeerPing.
+struct PeerPong {
+  std::uint64_t sequence = 0;
+  CatalogueDigest digest;
+  std::vector<HostRumour> rumours;
+  std::vector<ServerNote> notes;
+};
+
+/// \brief Asks another host to ping `target` for the sender.
+struct PeerProbe {
+  std::uint64_t sequence = 0;
+  state::ListedHost target;
+};
+
+/// \brief Tells how a PeerProbe ended.
+struct PeerProbeResult {
+  std::uint64_t sequence = 0;
+  state::HostId target;
+  std::uint64_t target_incarnation = 0;
+  bool reachable = false;
+};
+
+/// \brief The sender stops; it takes no more work.
+struct PeerGoodbye {};
+
+/// \brief News to pass on at once, outside heartbeats.
+struct PeerNews {
+  std::vector<HostRumour> rumours;
+  std::vector<ServerNote> notes;
+};
+
+/// \brief Versions that the sender has and the receiver may lack.
+struct PeerOffer {
+  std::vector<EntryVersion> entries;
+};
+
+/// \brief Asks for entries, given the versions that the sender has.
+///
+/// Without entries it asks for the versions of the whole catalogue.
+struct PeerPull {
+  std::vector<EntryVersion> have;
+};
+
+/// \brief Entries that were pulled.
+struct PeerPatches {
+  std::vector<EntryPatch> patches;
+};
+
+using PeerMessage =
+    std::variant<PeerPing, PeerPong, PeerProbe, PeerProbeResult, PeerGoodbye,
+                 PeerNews, PeerOffer, PeerPull, PeerPatches>;
+
+/// \brief A message and who sent it.
+struct PeerEnvelope {
+  state::HostId from;
+  std::uint64_t incarnation = 0;  ///< of the sender
+  PeerMessage message;
+};
+
+}  // namespace banyanknot::coordination
+
+#endif  // BANYANKNOT_COORDINATION_PEER_MESSAGE_H_
--- /dev/null
+++ b/include/banyanknot/coordination/query_executor.h
@@ -0,0 +1,76 @@
+#ifndef BANYANKNOT_COORDINATION_QUERY_EXECUTOR_H_
+#define BANYANKNOT_COORDINATION_QUERY_EXECUTOR_H_
+
+#include <atomic>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <vector>
+
+#include "banyanknot/coordination/backend_client.h"
+#include "banyanknot/coordination/clock.h"
+#include "banyanknot/coordination/query_run.h"
+#include "banyanknot/coordination/replica_selector.h"
+#include "banyanknot/coordination/server_gate.h"
+#include "banyanknot/coordination/timer_service.h"
+#include "banyanknot/state/catalogue_table.h"
+#include "banyanknot/state/sharded_table.h"
+
+namespace banyanknot::coordination {
+
+using AnswerHandler = std::function<void(state::Answer)>;
+
+/// \brief Runs queries: feeds events to each QueryRun and does what it asks.
+///
+/// Thread-safe. Runs live in a sharded table. The events of one run wait in its
+/// inbox; the thread that finds the inbox idle takes them out and handles them
+/// with no lock held, so nothing is called out of a shard while it is locked.
+class QueryExecutor {
+ public:
+  /// \param origin drawn at random for this incarnation of the host
+  QueryExecutor(std::uint64_t origin, const Clock& clock, TimerService& timers,
+                BackendClient& backend, const state::CatalogueTable& catalogue,
+                ReplicaSelector& selector, ServerGate& gate);
+
+  /// \brief Runs a query.
+  /// \param handler called exactly once, possibly before Run() returns
+  /// \returns the id by which Cancel() knows the query
+  state::RequestId Run(const state::Query& query, AnswerHandler handler);
+
+  /// \brief Stops a query whose caller has gone; its handler is still called.
+  void Cancel(const state::RequestId& id);
+
+  /// \brief Number of queries that have no answer yet.
+  std::size_t InFlight() const;
+
+ private:
+  using Event = std::function<QueryEffects(QueryRun&)>;
+
+  struct Entry {
+    std::shared_ptr<QueryRun> run;
+    AnswerHandler handler;
+    std::vector<Event> inbox;
+    bool is_draining = false;  // a thread is handling events of this run
+  };
+
+  void Post(const state::RequestId& id, Event event);
+  void Drain(const state::RequestId& id, QueryRun& run);
+  std::vector<Event> TakeInbox(const state::RequestId& id);
+  void Perform(const state::RequestId& id, QueryEffects effects);
+  void Send(const state::RequestId& id, const state::SubRequest& request);
+  void RemoveIfSettled(const state::RequestId& id, const QueryRun& run);
+
+  const std::uint64_t origin;
+  const Clock& clock;
+  TimerService& timers;
+  BackendClient& backend;
+  const state::CatalogueTable& catalogue;
+  ReplicaSelector& selector;
+  ServerGate& gate;
+  std::atomic<std::uint64_t> next_sequence{1};
+  state::ShardedTable<state::RequestId, Entry> entries;
+};
+
+}  // namespace banyanknot::coordination
+
+#endif  // BANYANKNOT_COORDINATION_QUERY_EXECUTOR_H_
--- /dev/null
+++ b/include/banyanknot/protocol/backend_codec.h
@@ -0,0 +1,43 @@
+#ifndef BANYANKNOT_PROTOCOL_BACKEND_CODEC_H_
+#define BANYANKNOT_PROTOCOL_BACKEND_CODEC_H_
+
+#include <string>
+
+#include "banyanknot/protocol/protocol_error.h"
+#include "banyanknot/state/result.h"
+#include "banyanknot/state/sub_request.h"
+
+namespace banyanknot::protocol {
+
+/// \brief Path to which sub-requests are posted.
+inline constexpr const char* kSubRequestPath = "/v1/sub";
+/// \brief Path to which cancellations are posted.
+inline constexpr const char* kCancelPath = "/v1/cancel";
+/// \brief Path of a backend server's health and load.
+inline constexpr const char* kHealthPath = "/v1/health";
+/// \brief Largest reply that is read from a backend server, in bytes.
+inline constexpr std::size_t kMaxSubReplyBytes = 16u << 20;
+
+/// \brief Writes a sub-request as a backend server reads it.
+/// \param remaining time left until the deadline
+std::string EncodeSubRequest(const state::SubRequest& request,
+                             state::Duration remaining);
+
+/// \brief Reads a sub-request; its deadline is `now` plus the remaining time.
+state::Result<state::SubRequest, ProtocolError> DecodeSubRequest(
+    const std::string& body, state::TimePoint now);
+
+std::string EncodeSubReply(const state::SubReply& reply);
+state::Result<state::SubReply, ProtocolError> DecodeSubReply(
+    const std::string& body);
+
+/// \brief Writes the cancellation of one attempt.
+std::string EncodeCancel(const state::SubRequest& request);
+
+std::string EncodeServerReport(const state::ServerReport& report);
+state::Result<state::ServerReport, ProtocolError> DecodeServerReport(
+    const std::string& body);
+
+}  // namespace banyanknot::protocol
+
+#endif  // BANYANKNOT_PROTOCOL_BACKEND_CODEC_H_
--- /dev/null
+++ b/include/banyanknot/state/key_range_set.h
@@ -0,0 +1,40 @@
+#ifndef BANYANKNOT_STATE_KEY_RANGE_SET_H_
+#define BANYANKNOT_STATE_KEY_RANGE_SET_H_
+
+#include <cstdint>
+#include <map>
+#include <vector>
+
+#include "banyanknot/state/key_range.h"
+
+namespace banyanknot::state {
+
+/// \brief A set of keys, held as disjoint ranges that do not touch.
+///
+/// Not thread-safe; it belongs to one in-flight request.
+class KeyRangeSet {
+ public:
+  /// \brief Adds the part of `range` that is not in the set yet.
+  /// \returns the ranges that were new, in order
+  std::vector<KeyRange> Insert(const KeyRange& range);
+
+  /// \brief The parts of `whole` that are not in the set, in order.
+  std::vector<KeyRange> MissingFrom(const KeyRange& whole) const;
+
+  bool Covers(const KeyRange& range) const;
+
+  /// \brief Number of keys in the set.
+  std::uint64_t Size() const;
+
+  /// \brief The ranges of the set, in order.
+  std::vector<KeyRange> Ranges() const;
+
+  void Clear() { this->ends.clear(); }
+
+ private:
+  std::map<std::uint64_t, std::uint64_t> ends;  // end of each range, by begin
+};
+
+}  // namespace banyanknot::state
+
+#endif  // BANYANKNOT_STATE_KEY_RANGE_SET_H_
--- /dev/null
+++ b/include/banyanknot/state/request_id.h
@@ -0,0 +1,50 @@
+#ifndef BANYANKNOT_STATE_REQUEST_ID_H_
+#define BANYANKNOT_STATE_REQUEST_ID_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace banyanknot::state {
+
+/// \brief Identifies one request across the fleet.
+///
+/// `origin` is drawn at random by each incarnation of a host; `sequence`
+/// counts that incarnation's requests.
+struct RequestId {
+  std::uint64_t origin = 0;
+  std::uint64_t sequence = 0;
+
+  friend bool operator==(const RequestId& left, const RequestId& right) {
+    return left.origin == right.origin && left.sequence == right.sequence;
+  }
+  friend bool operator!=(const RequestId& left, const RequestId& right) {
+    return !(left == right);
+  }
+};
+
+/// \brief Writes an id as 32 hexadecimal digits.
+std::string ToText(const RequestId& id);
+
+/// \brief Reads what ToText() wrote.
+/// \returns nothing if `text` is anything else
+std::optional<RequestId> RequestIdFromText(std::string_view text);
+
+}  // namespace banyanknot::state
+
+namespace std {
+
+template <>
+struct hash<banyanknot::state::RequestId> {
+  size_t operator()(const banyanknot::state::RequestId& id) const {
+    return static_cast<size_t>(id.origin ^
+                               (id.sequence * 0x9E3779B97F4A7C15ULL));
+  }
+};
+
+}  // namespace std
+
+#endif  // BANYANKNOT_STATE_REQUEST_ID_H_
--- /dev/null
+++ b/include/banyanknot/transport/transport_error.h
@@ -0,0 +1,45 @@
+#ifndef BANYANKNOT_TRANSPORT_TRANSPORT_ERROR_H_
+#define BANYANKNOT_TRANSPORT_TRANSPORT_ERROR_H_
+
+#include <array>
+#include <string_view>
+
+#include "banyanknot/state/enum_names.h"
+
+namespace banyanknot::transport {
+
+/// \brief Errors of the transport layer.
+enum class TransportError {
+  kResolve,   ///< the address is not an IP number
+  kListen,    ///< the port can't be listened on
+  kConnect,   ///< no connection was made
+  kLimit,     ///< every connection is taken
+  kLost,      ///< the connection failed after the first byte
+  kTimeout,   ///< no reply in time
+  kExpired,   ///< its time had passed before the first byte
+  kTooLarge,  ///< the message exceeds its size bound
+  kClosed,    ///< this process is shutting down
+};
+
+/// \brief Names of TransportError, as they stand in messages and logs.
+inline constexpr std::array<state::EnumName<TransportError>, 9>
+    kTransportErrorNames{{
+        {TransportError::kResolve, "resolve"},
+        {TransportError::kListen, "listen"},
+        {TransportError::kConnect, "connect"},
+        {TransportError::kLimit, "limit"},
+        {TransportError::kLost, "lost"},
+        {TransportError::kTimeout, "timeout"},
+        {TransportError::kExpired, "expired"},
+        {TransportError::kTooLarge, "too_large"},
+        {TransportError::kClosed, "closed"},
+    }};
+
+/// \brief Returns the name of a TransportError.
+constexpr std::string_view NameOf(TransportError value) {
+  return state::FindName(kTransportErrorNames, value);
+}
+
+}  // namespace banyanknot::transport
+
+#endif  // BANYANKNOT_TRANSPORT_TRANSPORT_ERROR_H_
--- /dev/null
+++ b/src/state/catalogue_table.cc
@@ -0,0 +1,91 @@
+#include "banyanknot/state/catalogue_table.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace banyanknot::state {
+
+Result<CatalogueRecord, StateError> CatalogueTable::Put(
+    const CatalogueRecord& record) {
+  using PutResult = Result<CatalogueRecord, StateError>;
+  return this->records.Update(
+      record.key, [&record](CatalogueRecord& current) -> PutResult {
+        if (record.revision < current.revision) {
+          return StateError::kStaleRevision;
+        }
+        if (record.revision == current.revision) {
+          return record.content_hash == current.content_hash
+                     ? StateError::kStaleRevision
+                     : StateError::kConflict;
+        }
+        return std::exchange(current, record);
+      });
+}
+
+std::optional<CatalogueRecord> CatalogueTable::Find(
+    const std::string& key) const {
+  return this->records.Find(key);
+}
+
+std::shared_ptr<const ServiceEntry> CatalogueTable::FindService(
+    const ServiceId& id) const {
+  const std::optional<CatalogueRecord> record =
+      this->records.Find("service/" + id.Text());
+  if (!record || record->IsTombstone()) return nullptr;
+  const ServiceEntry* service =
+      std::get_if<ServiceEntry>(record->content.get());
+  if (service == nullptr) return nullptr;
+  return {record->content, service};
+}
+
+DomainState CatalogueTable::FindDomainState(const FailureDomainId& id) const {
+  const std::optional<CatalogueRecord> record =
+      this->records.Find("domain/" + id.Text());
+  if (!record || record->IsTombstone()) return DomainState::kIn;
+  const FailureDomainEntry* domain =
+      std::get_if<FailureDomainEntry>(record->content.get());
+  return domain == nullptr ? DomainState::kIn : domain->domain_state;
+}
+
+FleetPolicy CatalogueTable::FindFleetPolicy() const {
+  const std::optional<CatalogueRecord> record = this->records.Find("fleet");
+  if (!record || record->IsTombstone()) return FleetPolicy();
+  const FleetPolicy* policy = std::get_if<FleetPolicy>(record->content.get());
+  return policy == nullptr ? FleetPolicy() : *policy;
+}
+
+std::vector<CatalogueRecord> CatalogueTable::All() const {
+  std::vector<CatalogueRecord> all;
+  this->records.ForEach(
+      [&all](const std::string& /*key*/, const CatalogueRecord& record) {
+        if (record.revision > 0) all.push_back(record);
+      });
+  std::sort(all.begin(), all.end(),
+            [](const CatalogueRecord& left, const CatalogueRecord& right) {
+              return left.key < right.key;
+            });
+  return all;
+}
+
+std::vector<std::shared_ptr<const ServiceEntry>> CatalogueTable::Services()
+    const {
+  std::vector<std::shared_ptr<const ServiceEntry>> services;
+  for (const CatalogueRecord& record : this->All()) {
+    if (record.IsTombstone()) continue;
+    const ServiceEntry* service =
+        std::get_if<ServiceEntry>(record.content.get());
+    if (service != nullptr) services.emplace_back(record.content, service);
+  }
+  return services;
+}
+
+std::uint64_t CatalogueTable::MaxRevision() const {
+  std::uint64_t revision = 0;
+  this->records.ForEach(
+      [&revision](const std::string& /*key*/, const CatalogueRecord& record) {
+        revision = std::max(revision, record.revision);
+      });
+  return revision;
+}
+
+}  // namespace banyanknot::state
--- /dev/null
+++ b/src/transport/http_convert.cc
@@ -0,0 +1,66 @@
+#include "transport/http_convert.h"
+
+#include <boost/beast/http/field.hpp>
+#include <boost/beast/http/verb.hpp>
+#include <string>
+#include <utility>
+
+namespace banyanknot::transport::internal {
+namespace {
+
+namespace http = boost::beast::http;
+
+constexpr int kHttp11 = 11;
+
+std::int64_t RoundUpToSeconds(state::Duration duration) {
+  constexpr std::int64_t kMillisecondsPerSecond = 1'000;
+  return (state::ToMilliseconds(duration) + kMillisecondsPerSecond - 1) /
+         kMillisecondsPerSecond;
+}
+
+}  // namespace
+
+protocol::HttpRequest FromBeast(http::request<http::string_body> request) {
+  return {std::string(request.method_string()), std::string(request.target()),
+          std::move(request.body())};
+}
+
+protocol::HttpResponse FromBeast(http::response<http::string_body> response) {
+  protocol::HttpResponse converted;
+  converted.status = response.result_int();
+  converted.content_type = std::string(response[http::field::content_type]);
+  converted.body = std::move(response.body());
+  return converted;
+}
+
+http::request<http::string_body> ToBeast(protocol::HttpRequest request,
+                                         const std::string& host) {
+  http::request<http::string_body> converted;
+  converted.version(kHttp11);
+  converted.method_string(request.method);
+  converted.target(request.target);
+  converted.set(http::field::host, host);
+  converted.set(http::field::content_type, "application/json");
+  converted.body() = std::move(request.body);
+  converted.keep_alive(true);
+  converted.prepare_payload();
+  return converted;
+}
+
+http::response<http::string_body> ToBeast(protocol::HttpResponse response,
+                                          bool keep_alive) {
+  http::response<http::string_body> converted;
+  converted.version(kHttp11);
+  converted.result(response.status);
+  converted.set(http::field::content_type, response.content_type);
+  if (response.retry_after.count() > 0) {
+    converted.set(http::field::retry_after,
+                  std::to_string(RoundUpToSeconds(response.retry_after)));
+  }
+  converted.body() = std::move(response.body);
+  converted.keep_alive(keep_alive);
+  converted.prepare_payload();
+  return converted;
+}
+
+}  // namespace banyanknot::transport::internal
--- /dev/null
+++ b/src/transport/http_server.cc
@@ -0,0 +1,325 @@
+#include "banyanknot/transport/http_server.h"
+
+#include <atomic>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/strand.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <mutex>
+#include <optional>
+#include <unordered_set>
+#include <utility>
+
+#include "transport/http_convert.h"
+
+namespace banyanknot::transport {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using asio::ip::tcp;
+
+namespace internal {
+
+class ServerConnection;
+
+}  // namespace internal
+
+struct HttpServer::Impl : std::enable_shared_from_this<HttpServer::Impl> {
+  Impl(asio::io_context& context, HttpHandler& handler, HttpServerLimits limits)
+      : context(context),
+        handler(handler),
+        limits(limits),
+        acceptor(asio::make_strand(context)) {}
+
+  void AcceptNext();
+  void OnAccepted(tcp::socket socket);
+
+  asio::io_context& context;
+  HttpHandler& handler;
+  const HttpServerLimits limits;
+  tcp::acceptor acceptor;
+  std::atomic<bool> is_shut_down{false};
+  mutable std::mutex mutex;
+  std::unordered_set<std::shared_ptr<internal::ServerConnection>> connections;
+};
+
+namespace internal {
+
+/// \brief One connection of a caller; reads, hands over, writes, repeats.
+class ServerConnection : public std::enable_shared_from_this<ServerConnection> {
+ public:
+  ServerConnection(std::shared_ptr<HttpServer::Impl> server, tcp::socket socket)
+      : server(std::move(server)), stream(std::move(socket)) {}
+
+  void Start() {
+    asio::dispatch(this->stream.get_executor(),
+                   [self = this->shared_from_this()] { self->ReadNext(); });
+  }
+
+  void CloseIfIdle() {
+    asio::dispatch(this->stream.get_executor(),
+                   [self = this->shared_from_this()] {
+                     if (!self->is_answering) self->Close();
+                   });
+  }
+
+  void Abort() {
+    asio::dispatch(this->stream.get_executor(),
+                   [self = this->shared_from_this()] { self->Close(); });
+  }
+
+  void Write(protocol::HttpResponse response, bool keep_alive) {
+    asio::dispatch(
+        this->stream.get_executor(),
+        [self = this->shared_from_this(), response = std::move(response),
+         keep_alive] { self->WriteNow(response, keep_alive); });
+  }
+
+ private:
+  class Exchange;
+
+  void ReadNext();
+  void OnRead(const beast::error_code& error);
+  void WatchForClose(const std::shared_ptr<Exchange>& exchange);
+  void WriteNow(const protocol::HttpResponse& response, bool keep_alive);
+  void Close();
+
+  const std::shared_ptr<HttpServer::Impl> server;
+  beast::tcp_stream stream;
+  beast::flat_buffer buffer;
+  std::optional<http::request_parser<http::string_body>> parser;
+  http::response<http::string_body> response;
+  bool is_answering = false;
+};
+
+class ServerConnection::Exchange : public HttpExchange {
+ public:
+  Exchange(std::shared_ptr<ServerConnection> connection,
+           protocol::HttpRequest request, bool keep_alive)
+      : connection(std::move(connection)),
+        request(std::move(request)),
+        keep_alive(keep_alive) {}
+
+  ~Exchange() override {
+    if (!this->is_answered.exchange(true)) this->connection->Abort();
+  }
+
+  const protocol::HttpRequest& Request() const override {
+    return this->request;
+  }
+
+  void Respond(protocol::HttpResponse response) override {
+    if (this->is_answered.exchange(true)) return;
+    this->TakeClosedHandler();
+    this->connection->Write(std::move(response), this->keep_alive);
+  }
+
+  void OnClosed(std::function<void()> handler) override {
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    if (!this->is_closed) {
+      this->closed_handler = std::move(handler);
+      return;
+    }
+    asio::post(this->connection->stream.get_executor(), std::move(handler));
+  }
+
+  void NotifyClosed() {
+    std::function<void()> handler = this->TakeClosedHandler();
+    if (handler) handler();
+  }
+
+ private:
+  std::function<void()> TakeClosedHandler() {
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    this->is_closed = true;
+    return std::exchange(this->closed_handler, nullptr);
+  }
+
+  const std::shared_ptr<ServerConnection> connection;
+  const protocol::HttpRequest request;
+  const bool keep_alive;
+  std::atomic<bool> is_answered{false};
+  std::mutex mutex;
+  bool is_closed = false;
+  std::function<void()> closed_handler;
+};
+
+void ServerConnection::ReadNext() {
+  this->is_answering = false;
+  if (this->server->is_shut_down) {
+    this->Close();
+    return;
+  }
+  this->parser.emplace();
+  this->parser->body_limit(this->server->limits.max_body_bytes);
+  this->parser->header_limit(
+      static_cast<std::uint32_t>(this->server->limits.max_header_bytes));
+  http::async_read(this->stream, this->buffer, *this->parser,
+                   [self = this->shared_from_this()](
+                       const beast::error_code& error, std::size_t /*bytes*/) {
+                     self->OnRead(error);
+                   });
+}
+
+void ServerConnection::OnRead(const beast::error_code& error) {
+  this->is_answering = true;
+  if (error == http::error::body_limit || error == http::error::header_limit) {
+    this->WriteNow({413, R"({"outcome":"invalid","error":"too_large"})"},
+                   false);
+    return;
+  }
+  if (error &&
+      error.category() ==
+          http::make_error_code(http::error::bad_method).category() &&
+      error != http::error::end_of_stream &&
+      error != http::error::partial_message) {
+    this->WriteNow({400, R"({"outcome":"invalid","error":"malformed"})"},
+                   false);
+    return;
+  }
+  if (error) {
+    this->Close();
+    return;
+  }
+  const bool keep_alive = this->parser->keep_alive();
+  const std::shared_ptr<Exchange> exchange = std::make_shared<Exchange>(
+      this->shared_from_this(), FromBeast(this->parser->release()), keep_alive);
+  this->WatchForClose(exchange);
+  this->server->handler.Handle(exchange);
+}
+
+void ServerConnection::WatchForClose(
+    const std::shared_ptr<Exchange>& exchange) {
+  if (this->buffer.size() > 0) return;  // the next request came already
+  this->stream.socket().async_wait(
+      tcp::socket::wait_read, [self = this->shared_from_this(),
+                               exchange = std::weak_ptr<Exchange>(exchange)](
+                                  const beast::error_code& error) {
+        if (error || !self->stream.socket().is_open()) return;
+        beast::error_code peek_error;
+        char byte = 0;
+        const std::size_t peeked = self->stream.socket().receive(
+            asio::buffer(&byte, 1), tcp::socket::message_peek, peek_error);
+        if (!peek_error && peeked > 0) return;
+        const std::shared_ptr<Exchange> open = exchange.lock();
+        if (open != nullptr) open->NotifyClosed();
+      });
+}
+
+void ServerConnection::WriteNow(const protocol::HttpResponse& response,
+                                bool keep_alive) {
+  beast::error_code ignored;
+  this->stream.socket().cancel(ignored);  // ends the watch for a close
+  keep_alive = keep_alive && !this->server->is_shut_down;
+  this->response = ToBeast(response, keep_alive);
+  http::async_write(this->stream, this->response,
+                    [self = this->shared_from_this(), keep_alive](
+                        const beast::error_code& error, std::size_t /*bytes*/) {
+                      if (error || !keep_alive) {
+                        self->Close();
+                      } else {
+                        self->ReadNext();
+                      }
+                    });
+}
+
+void ServerConnection::Close() {
+  beast::error_code ignored;
+  this->stream.socket().shutdown(tcp::socket::shutdown_both, ignored);
+  this->stream.socket().close(ignored);
+  const std::lock_guard<std::mutex> lock(this->server->mutex);
+  this->server->connections.erase(this->shared_from_this());
+}
+
+}  // namespace internal
+
+void HttpServer::Impl::AcceptNext() {
+  this->acceptor.async_accept(
+      asio::make_strand(this->context),
+      [self = this->shared_from_this()](const beast::error_code& error,
+                                        tcp::socket socket) {
+        if (error == asio::error::operation_aborted || self->is_shut_down) {
+          return;
+        }
+        if (!error) self->OnAccepted(std::move(socket));
+        self->AcceptNext();
+      });
+}
+
+void HttpServer::Impl::OnAccepted(tcp::socket socket) {
+  beast::error_code ignored;
+  socket.set_option(tcp::no_delay(true), ignored);
+  std::shared_ptr<internal::ServerConnection> connection;
+  {
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    if (this->connections.size() >= this->limits.max_connections) return;
+    connection = std::make_shared<internal::ServerConnection>(
+        this->shared_from_this(), std::move(socket));
+    this->connections.insert(connection);
+  }
+  connection->Start();
+}
+
+HttpServer::HttpServer(asio::io_context& context, HttpHandler& handler,
+                       HttpServerLimits limits)
+    : impl(std::make_shared<Impl>(context, handler, limits)) {}
+
+HttpServer::~HttpServer() {
+  this->Shutdown();
+  this->Abort();
+}
+
+state::Result<std::uint16_t, TransportError> HttpServer::Listen(
+    const state::Endpoint& endpoint) {
+  beast::error_code error;
+  const asio::ip::address address =
+      asio::ip::make_address(endpoint.address, error);
+  if (error) return TransportError::kResolve;
+  const tcp::endpoint local(address, endpoint.port);
+  tcp::acceptor& acceptor = this->impl->acceptor;
+  acceptor.open(local.protocol(), error);
+  if (!error) acceptor.set_option(tcp::acceptor::reuse_address(true), error);
+  if (!error) acceptor.bind(local, error);
+  if (!error) acceptor.listen(asio::socket_base::max_listen_connections, error);
+  if (error) return TransportError::kListen;
+  this->impl->AcceptNext();
+  return acceptor.local_endpoint().port();
+}
+
+void HttpServer::Shutdown() {
+  if (this->impl->is_shut_down.exchange(true)) return;
+  asio::post(this->impl->acceptor.get_executor(), [impl = this->impl] {
+    beast::error_code ignored;
+    impl->acceptor.close(ignored);
+  });
+  std::unordered_set<std::shared_ptr<internal::ServerConnection>> connections;
+  {
+    const std::lock_guard<std::mutex> lock(this->impl->mutex);
+    connections = this->impl->connections;
+  }
+  for (const std::shared_ptr<internal::ServerConnection>& connection :
+       connections) {
+    connection->CloseIfIdle();
+  }
+}
+
+void HttpServer::Abort() {
+  std::unordered_set<std::shared_ptr<internal::ServerConnection>> connections;
+  {
+    const std::lock_guard<std::mutex> lock(this->impl->mutex);
+    connections.swap(this->impl->connections);
+  }
+  for (const std::shared_ptr<internal::ServerConnection>& connection :
+       connections) {
+    connection->Abort();
+  }
+}
+
+std::size_t HttpServer::Connections() const {
+  const std::lock_guard<std::mutex> lock(this->impl->mutex);
+  return this->impl->connections.size();
+}
+
+}  // namespace banyanknot::transport
--- /dev/null
+++ b/tools/test.sh
@@ -0,0 +1,11 @@
+#!/usr/bin/env bash
+# Installs, builds, checks format, lint and include direction, runs all tests.
+set -euo pipefail
+root=$(cd "$(dirname "$0")/.." && pwd)
+"$root/tools/install.sh"
+"$root/tools/build.sh"
+"$root/tools/format.sh" --check
+"$root/tools/check_includes.sh"
+"$root/tools/check_auto.py"
+"$root/tools/lint.sh"
+ctest --test-dir "${BUILD_DIR:-$root/build}/test" --output-on-failure
