Let the linter's parallelism be set

Cause: several checkouts lint on one machine at once. Change: BANYANKNOT_JOBS bounds the parallel runs; the default stays all cores. Conclusion: no behaviour changes when the variable is unset.

--- a/tools/lint.sh
+++ b/tools/lint.sh
@@ -25,4 +25,4 @@
 if [ $# -gt 0 ]; then files=("$@"); else
   mapfile -t files < <(git ls-files -co --exclude-standard 'src/*.cc' 'daemons/*.cc' 'standins/*.cc')
 fi
-printf '%s\n' "${files[@]}" | xargs -P "$(nproc)" -I{} bash -c 'lint_one {}'
+printf '%s\n' "${files[@]}" | xargs -P "${BANYANKNOT_JOBS:-$(nproc)}" -I{} bash -c 'lint_one {}'
