Check host settings and catalogue entries against JSON Schemas

Cause: a wrong settings file started a host with defaults in place of what was meant, and a mistyped member of a catalogue entry went unnoticed. Settings gain seed_peers, policies, log_severity and log_format.

--- a/daemons/host_settings.cc
+++ b/daemons/host_settings.cc
@@ -1,9 +1,11 @@
 #include "host_settings.h"
 
+#include <array>
 #include <fstream>
 #include <sstream>
 
 #include "banyanknot/protocol/json_reader.h"
+#include "banyanknot/protocol/json_schema.h"
 
 namespace banyanknot::daemons {
 namespace {
@@ -14,9 +16,9 @@
 constexpr std::uint64_t kMaxPort = 65535;
 constexpr std::uint64_t kMaxThreads = 256;
 
-state::Endpoint ReadEndpoint(protocol::JsonReader& parent, const char* member) {
-  protocol::JsonReader reader(parent.AnyOrNull(member),
-                              std::string("/") + member);
+state::Endpoint ReadEndpoint(protocol::JsonReader& parent, const json& value,
+                             const std::string& pointer) {
+  protocol::JsonReader reader(value, pointer);
   state::Endpoint endpoint;
   endpoint.address = reader.String("address");
   endpoint.port = static_cast<std::uint16_t>(reader.Unsigned("port", kMaxPort));
@@ -24,6 +26,42 @@
   return endpoint;
 }
 
+state::Endpoint ReadEndpoint(protocol::JsonReader& parent, const char* member) {
+  return ReadEndpoint(parent, parent.AnyOrNull(member),
+                      std::string("/") + member);
+}
+
+/// Reads a member that names an enumerator; the schema has checked the name.
+template <typename Enum, std::size_t kSize>
+Enum ReadEnum(protocol::JsonReader& reader, const char* member,
+              const std::array<state::EnumName<Enum>, kSize>& names,
+              Enum fallback) {
+  const std::string name = reader.StringOr(member, "");
+  return state::FindValue(names, name).value_or(fallback);
+}
+
+HostSettings ReadMembers(protocol::JsonReader& reader) {
+  HostSettings settings;
+  settings.id = state::HostId(reader.String("id"));
+  settings.domain = state::FailureDomainId(reader.String("domain"));
+  settings.caller_listen = ReadEndpoint(reader, "caller_listen");
+  settings.peer_listen = ReadEndpoint(reader, "peer_listen");
+  settings.platform = ReadEndpoint(reader, "platform");
+  for (const json& peer : reader.ArrayOrEmpty("seed_peers")) {
+    settings.seed_peers.push_back(ReadEndpoint(reader, peer, "/seed_peers"));
+  }
+  settings.threads = static_cast<std::size_t>(
+      reader.UnsignedOr("threads", settings.threads, kMaxThreads));
+  settings.policies =
+      ReadEnum(reader, "policies", kPolicySetNames, settings.policies);
+  settings.log_severity =
+      ReadEnum(reader, "log_severity", coordination::kLogSeverityNames,
+               settings.log_severity);
+  settings.log_format =
+      ReadEnum(reader, "log_format", kLogFormatNames, settings.log_format);
+  return settings;
+}
+
 std::vector<coordination::EntryFault> OneFault(
     const protocol::ProtocolError& error) {
   return {{error.pointer, error.reason}};
@@ -41,15 +79,12 @@
   const state::Result<json, protocol::ProtocolError> parsed =
       protocol::ParseJson(text.str(), kMaxSettingsBytes);
   if (!state::IsOk(parsed)) return OneFault(state::ErrorOf(parsed));
+  const protocol::JsonSchema schema(protocol::HostSettingsSchemaText());
+  std::vector<coordination::EntryFault> faults =
+      schema.Check(state::ValueOf(parsed));
+  if (!faults.empty()) return faults;
   protocol::JsonReader reader(state::ValueOf(parsed), "");
-  HostSettings settings;
-  settings.id = state::HostId(reader.String("id"));
-  settings.domain = state::FailureDomainId(reader.String("domain"));
-  settings.caller_listen = ReadEndpoint(reader, "caller_listen");
-  settings.peer_listen = ReadEndpoint(reader, "peer_listen");
-  settings.platform = ReadEndpoint(reader, "platform");
-  settings.threads = static_cast<std::size_t>(
-      reader.UnsignedOr("threads", settings.threads, kMaxThreads));
+  HostSettings settings = ReadMembers(reader);
   if (reader.Error()) return OneFault(*reader.Error());
   return settings;
 }
--- a/daemons/host_settings.h
+++ b/daemons/host_settings.h
@@ -5,9 +5,12 @@
 #include <vector>
 
 #include "banyanknot/coordination/entry_decoder.h"
+#include "banyanknot/coordination/log_severity.h"
 #include "banyanknot/state/endpoint.h"
 #include "banyanknot/state/identifier.h"
 #include "banyanknot/state/result.h"
+#include "log_format.h"
+#include "policy_set.h"
 
 namespace banyanknot::daemons {
 
@@ -18,7 +21,12 @@
   state::Endpoint caller_listen;
   state::Endpoint peer_listen;
   state::Endpoint platform;
+  std::vector<state::Endpoint>
+      seed_peers;  ///< asked before the platform answers
   std::size_t threads = 2;
+  PolicySet policies = PolicySet::kFull;
+  coordination::LogSeverity log_severity = coordination::LogSeverity::kInfo;
+  LogFormat log_format = LogFormat::kText;
 };
 
 using HostSettingsResult =
--- /dev/null
+++ b/include/banyanknot/protocol/json_schema.h
@@ -0,0 +1,40 @@
+#ifndef BANYANKNOT_PROTOCOL_JSON_SCHEMA_H_
+#define BANYANKNOT_PROTOCOL_JSON_SCHEMA_H_
+
+#include <memory>
+#include <nlohmann/json_fwd.hpp>
+#include <string>
+#include <vector>
+
+#include "banyanknot/coordination/entry_decoder.h"
+
+namespace banyanknot::protocol {
+
+/// \brief A compiled JSON Schema.
+///
+/// Thread-safe.
+class JsonSchema {
+ public:
+  /// \param text the schema, in JSON
+  /// \pre text is a valid schema
+  explicit JsonSchema(const std::string& text);
+  ~JsonSchema();
+
+  /// \brief Lists every fault of `document`, with JSON pointers.
+  std::vector<coordination::EntryFault> Check(
+      const nlohmann::json& document) const;
+
+ private:
+  struct Impl;
+  std::unique_ptr<const Impl> impl;
+};
+
+/// \brief The schema of a host's settings file, as JSON text.
+const std::string& HostSettingsSchemaText();
+
+/// \brief The schema of a catalogue: an object of entry key to entry.
+const std::string& CatalogueSchemaText();
+
+}  // namespace banyanknot::protocol
+
+#endif  // BANYANKNOT_PROTOCOL_JSON_SCHEMA_H_
--- a/src/protocol/catalogue_codec.cc
+++ b/src/protocol/catalogue_codec.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "banyanknot/protocol/json_reader.h"
+#include "banyanknot/protocol/json_schema.h"
 
 namespace banyanknot::protocol {
 namespace {
@@ -134,6 +135,23 @@
   return {{std::move(pointer), std::move(reason)}};
 }
 
+/// Checks one entry as the only one of a catalogue, so that pointers start at
+/// the entry.
+std::vector<coordination::EntryFault> CheckSchema(const std::string& key,
+                                                  const json& entry) {
+  static const JsonSchema* const kSchema =
+      new JsonSchema(CatalogueSchemaText());
+  std::vector<coordination::EntryFault> faults =
+      kSchema->Check(json{{key, entry}});
+  const std::string prefix = "/" + key;
+  for (coordination::EntryFault& fault : faults) {
+    if (fault.pointer.rfind(prefix, 0) == 0) {
+      fault.pointer.erase(0, prefix.size());
+    }
+  }
+  return faults;
+}
+
 std::string IdInKey(const std::string& key) {
   const std::size_t slash = key.find('/');
   return slash == std::string::npos ? "" : key.substr(slash + 1);
@@ -148,6 +166,9 @@
   if (!state::IsOk(parsed)) {
     return OneFault("", state::ErrorOf(parsed).reason);
   }
+  std::vector<coordination::EntryFault> faults =
+      CheckSchema(key, state::ValueOf(parsed));
+  if (!faults.empty()) return faults;
   JsonReader reader(state::ValueOf(parsed), "");
   state::CatalogueContent content;
   std::string id;
