Add numbered log events, the audit trail, metrics and what operators read

Cause: a host said nothing of what it did. Change: events with fixed numbers go through Boost.Log as text or JSON, their catalogue in docs/EVENTS.md is checked against the code; the audit trail keeps the latest changes in shards and logs each; answers are counted and measured with Boost.Accumulators and written by prometheus-cpp's serializer; /status, /metrics, /audit and /explain answer from each host. Conclusion: the product's face stands; decisions report into it as they come.

--- a/daemons/host_application.cc
+++ b/daemons/host_application.cc
@@ -22,17 +22,34 @@
   return (static_cast<std::uint64_t>(device()) << 32) | device();
 }
 
-class DiscardingAuditSink : public coordination::AuditSink {
- public:
-  void Append(const coordination::AuditEvent& /*event*/) override {}
-};
+constexpr std::size_t kAuditCapacity = 4096;
+
+transport::BoostEventLog::LineEncoder EncoderOf(LogFormat format) {
+  return format == LogFormat::kJson ? protocol::EncodeJsonLogLine
+                                    : protocol::EncodeTextLogLine;
+}
+
+state::HostIdentity IdentityOf(const HostSettings& settings,
+                               const coordination::WallClock& wall_clock) {
+  state::HostIdentity identity;
+  identity.self.id = settings.id;
+  identity.self.domain = settings.domain;
+  identity.self.peer = settings.peer_listen;
+  identity.self.caller = settings.caller_listen;
+  identity.incarnation =
+      static_cast<std::uint64_t>(wall_clock.UnixMilliseconds());
+  return identity;
+}
 
 }  // namespace
 
 struct HostApplication::Parts {
   explicit Parts(const HostSettings& settings)
       : settings(settings),
+        identity(IdentityOf(settings, wall_clock)),
         origin(DrawOrigin()),
+        log(wall_clock, settings.log_severity, EncoderOf(settings.log_format)),
+        audit(kAuditCapacity, wall_clock, log),
         threads(settings.threads),
         timers(threads.Context()),
         random(origin),
@@ -43,16 +60,23 @@
         selector(random),
         gate(clock),
         executor(origin, clock, timers, backend, catalogue, selector, gate),
-        service(executor, follower),
+        operators(identity, clock, catalogue, hosts, servers, executor,
+                  follower, audit, {&query_metrics}),
+        service(clock, executor, query_metrics, operators),
         server(threads.Context(), service, {protocol::kMaxCallerRequestBytes}) {
   }
 
+  transport::SteadyClock clock;
+  transport::SystemWallClock wall_clock;
   const HostSettings settings;
+  const state::HostIdentity identity;
   const std::uint64_t origin;
-  transport::SteadyClock clock;
+  transport::BoostEventLog log;
+  coordination::AuditTrail audit;
   state::CatalogueTable catalogue;
+  state::HostTable hosts;
+  state::ServerTable servers;
   protocol::CatalogueCodec codec;
-  DiscardingAuditSink audit;
   transport::IoThreads threads;
   transport::AsioTimerService timers;
   coordination::SeededRandomSource random;
@@ -63,6 +87,8 @@
   coordination::RandomReplicaSelector selector;
   coordination::OpenServerGate gate;
   coordination::QueryExecutor executor;
+  coordination::QueryMetrics query_metrics;
+  OperatorService operators;
   HostService service;
   transport::HttpServer server;
 };
@@ -73,13 +99,24 @@
 HostApplication::~HostApplication() { this->parts->threads.Stop(); }
 
 int HostApplication::Run() {
+  this->parts->log.Write(
+      coordination::EventCode::kHostStarting,
+      {{"host", this->parts->settings.id.Text()},
+       {"domain", this->parts->settings.domain.Text()},
+       {"version", BANYANKNOT_VERSION},
+       {"policies", std::string(NameOf(this->parts->settings.policies))}});
   const state::Result<std::uint16_t, transport::TransportError> port =
       this->parts->server.Listen(this->parts->settings.caller_listen);
   if (!state::IsOk(port)) {
-    std::fprintf(stderr, "cannot listen for callers: %s\n",
-                 std::string(NameOf(state::ErrorOf(port))).c_str());
+    this->parts->log.Write(
+        coordination::EventCode::kListenFailed,
+        {{"address", ToText(this->parts->settings.caller_listen)},
+         {"error", std::string(NameOf(state::ErrorOf(port)))}});
     return 1;
   }
+  this->parts->log.Write(
+      coordination::EventCode::kHostListening,
+      {{"caller_port", std::to_string(state::ValueOf(port))}});
   std::printf("{\"caller_port\":%u}\n", state::ValueOf(port));
   std::fflush(stdout);
   this->parts->follower.Start();
@@ -89,7 +126,9 @@
   signals.async_wait([&stopped](const boost::system::error_code& /*error*/,
                                 int /*number*/) { stopped.set_value(); });
   stopped.get_future().wait();
+  this->parts->log.Write(coordination::EventCode::kHostStopping, {});
   this->parts->server.Shutdown();
+  this->parts->log.Write(coordination::EventCode::kHostStopped, {});
   return 0;
 }
 
--- a/daemons/host_service.cc
+++ b/daemons/host_service.cc
@@ -1,5 +1,6 @@
 #include "host_service.h"
 
+#include <optional>
 #include <utility>
 
 #include "banyanknot/protocol/caller_codec.h"
@@ -8,24 +9,42 @@
 namespace {
 
 constexpr unsigned kHttpNotFound = 404;
-constexpr unsigned kHttpUnavailable = 503;
+constexpr unsigned kHttpMethodNotAllowed = 405;
 
 }  // namespace
 
-HostService::HostService(coordination::QueryExecutor& executor,
-                         const coordination::CatalogueFollower& follower)
-    : executor(executor), follower(follower) {}
+HostService::HostService(const coordination::Clock& clock,
+                         coordination::QueryExecutor& executor,
+                         coordination::QueryMetrics& metrics,
+                         const OperatorService& operators)
+    : clock(clock),
+      executor(executor),
+      metrics(metrics),
+      operators(operators) {}
 
 void HostService::Handle(std::shared_ptr<transport::HttpExchange> exchange) {
   const protocol::HttpRequest& request = exchange->Request();
-  if (request.method == "POST" && request.target == protocol::kQueryPath) {
+  if (request.method == "POST") {
+    this->HandlePost(exchange);
+    return;
+  }
+  if (request.method != "GET") {
+    exchange->Respond(
+        {kHttpMethodNotAllowed, R"({"error":"use GET or POST"})"});
+    return;
+  }
+  std::optional<protocol::HttpResponse> response =
+      this->operators.Answer(request.target);
+  exchange->Respond(response
+                        ? std::move(*response)
+                        : protocol::HttpResponse{
+                              kHttpNotFound, R"({"error":"no such path"})"});
+}
+
+void HostService::HandlePost(
+    const std::shared_ptr<transport::HttpExchange>& exchange) {
+  if (exchange->Request().target == protocol::kQueryPath) {
     this->HandleQuery(exchange);
-  } else if (request.target == "/live") {
-    exchange->Respond({200, R"({"live":true})"});
-  } else if (request.target == "/ready") {
-    const bool is_ready = this->follower.HasRead();
-    exchange->Respond({is_ready ? 200 : kHttpUnavailable,
-                       is_ready ? R"({"ready":true})" : R"({"ready":false})"});
   } else {
     exchange->Respond({kHttpNotFound, R"({"error":"no such path"})"});
   }
@@ -39,8 +58,11 @@
     exchange->Respond(protocol::EncodeInvalid(state::ErrorOf(query)));
     return;
   }
+  const state::TimePoint started_at = this->clock.Now();
   const state::RequestId id = this->executor.Run(
-      state::ValueOf(query), [exchange](const state::Answer& answer) {
+      state::ValueOf(query),
+      [this, exchange, started_at](const state::Answer& answer) {
+        this->metrics.RecordAnswer(answer, this->clock.Now() - started_at);
         exchange->Respond(protocol::EncodeAnswer(answer));
       });
   exchange->OnClosed([this, id] { this->executor.Cancel(id); });
--- a/daemons/host_service.h
+++ b/daemons/host_service.h
@@ -5,21 +5,27 @@
 
 #include "banyanknot/Coordination"
 #include "banyanknot/transport/http_server.h"
+#include "operator_service.h"
 
 namespace banyanknot::daemons {
 
 /// \brief Answers the HTTP requests of callers and operators.
 class HostService : public transport::HttpHandler {
  public:
-  HostService(coordination::QueryExecutor& executor,
-              const coordination::CatalogueFollower& follower);
+  HostService(const coordination::Clock& clock,
+              coordination::QueryExecutor& executor,
+              coordination::QueryMetrics& metrics,
+              const OperatorService& operators);
   void Handle(std::shared_ptr<transport::HttpExchange> exchange) override;
 
  private:
+  void HandlePost(const std::shared_ptr<transport::HttpExchange>& exchange);
   void HandleQuery(const std::shared_ptr<transport::HttpExchange>& exchange);
 
+  const coordination::Clock& clock;
   coordination::QueryExecutor& executor;
-  const coordination::CatalogueFollower& follower;
+  coordination::QueryMetrics& metrics;
+  const OperatorService& operators;
 };
 
 }  // namespace banyanknot::daemons
--- /dev/null
+++ b/daemons/operator_service.h
@@ -0,0 +1,53 @@
+#ifndef BANYANKNOT_DAEMONS_OPERATOR_SERVICE_H_
+#define BANYANKNOT_DAEMONS_OPERATOR_SERVICE_H_
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "banyanknot/Coordination"
+#include "banyanknot/State"
+#include "banyanknot/protocol/http_message.h"
+#include "banyanknot/protocol/operator_codec.h"
+
+namespace banyanknot::daemons {
+
+/// \brief Answers what operators read: status, metrics, audit, explanations.
+class OperatorService {
+ public:
+  OperatorService(state::HostIdentity identity,
+                  const coordination::Clock& clock,
+                  const state::CatalogueTable& catalogue,
+                  const state::HostTable& hosts,
+                  const state::ServerTable& servers,
+                  const coordination::QueryExecutor& executor,
+                  const coordination::CatalogueFollower& follower,
+                  const coordination::AuditTrail& audit,
+                  std::vector<const coordination::MetricSource*> metrics);
+
+  /// \brief Answers a GET, or nothing if the path is not an operator's.
+  /// \param target path and query part
+  std::optional<protocol::HttpResponse> Answer(const std::string& target) const;
+
+ private:
+  protocol::HttpResponse Status() const;
+  protocol::HttpResponse Metrics() const;
+  protocol::HttpResponse Explain(const std::string& service) const;
+  void CollectGauges(std::vector<coordination::MetricSample>& samples) const;
+
+  const state::HostIdentity identity;
+  const coordination::Clock& clock;
+  const state::TimePoint started_at;
+  const state::CatalogueTable& catalogue;
+  const state::HostTable& hosts;
+  const state::ServerTable& servers;
+  const coordination::QueryExecutor& executor;
+  const coordination::CatalogueFollower& follower;
+  const coordination::AuditTrail& audit;
+  const std::vector<const coordination::MetricSource*> metrics;
+};
+
+}  // namespace banyanknot::daemons
+
+#endif  // BANYANKNOT_DAEMONS_OPERATOR_SERVICE_H_
--- /dev/null
+++ b/include/banyanknot/coordination/metric_source.h
@@ -0,0 +1,38 @@
+#ifndef BANYANKNOT_COORDINATION_METRIC_SOURCE_H_
+#define BANYANKNOT_COORDINATION_METRIC_SOURCE_H_
+
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "banyanknot/coordination/metric_kind.h"
+
+namespace banyanknot::coordination {
+
+/// \brief One label of a metric.
+struct MetricLabel {
+  std::string name;
+  std::string value;
+};
+
+/// \brief One value of a metric at the time of reading.
+struct MetricSample {
+  std::string name;  ///< ends in its unit, as scrapers expect
+  std::string help;
+  MetricKind kind = MetricKind::kGauge;
+  std::vector<MetricLabel> labels;
+  double value = 0;
+};
+
+/// \brief Something that has metrics to show.
+///
+/// Thread-safe.
+class MetricSource {
+ public:
+  virtual ~MetricSource() = default;
+  virtual void CollectMetrics(std::vector<MetricSample>& samples) const = 0;
+};
+
+}  // namespace banyanknot::coordination
+
+#endif  // BANYANKNOT_COORDINATION_METRIC_SOURCE_H_
--- /dev/null
+++ b/test/protocol/operator_output_test.cc
@@ -0,0 +1,57 @@
+#include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+
+#include "banyanknot/protocol/log_line.h"
+#include "banyanknot/protocol/metrics_codec.h"
+#include "banyanknot/protocol/operator_codec.h"
+
+namespace banyanknot::protocol {
+namespace {
+
+TEST_CASE("Log lines keep hostile text inside its field") {
+  const coordination::EventDescription& event =
+      coordination::DescriptionOf(coordination::EventCode::kEntryRefused);
+  const std::vector<std::string> hostile = {"plain", "two\nlines", "\"quoted\"",
+                                            "\xff\xfe not UTF-8", ""};
+  for (const std::string& text : hostile) {
+    const std::vector<coordination::LogField> fields{{"detail", text}};
+    const std::string line = EncodeJsonLogLine(0, event, fields);
+    CHECK(line.find('\n') == std::string::npos);
+    const nlohmann::json parsed = nlohmann::json::parse(line);
+    CHECK(parsed["event"] == 2002);
+    CHECK(parsed["severity"] == "warning");
+    CHECK(parsed["time"] == "1970-01-01T00:00:00.000Z");
+    CHECK(EncodeTextLogLine(0, event, fields).find('\n') == std::string::npos);
+  }
+}
+
+TEST_CASE("Metrics come out as one family a name") {
+  const HttpResponse response = EncodeMetrics(
+      {{"a_total", "A.", coordination::MetricKind::kCounter, {{"x", "1"}}, 2},
+       {"b", "B.", coordination::MetricKind::kGauge, {}, 0.5},
+       {"a_total", "A.", coordination::MetricKind::kCounter, {{"x", "2"}}, 3}});
+  CHECK(response.body ==
+        "# HELP a_total A.\n# TYPE a_total counter\n"
+        "a_total{x=\"1\"} 2\na_total{x=\"2\"} 3\n"
+        "# HELP b B.\n# TYPE b gauge\nb 0.5\n");
+}
+
+TEST_CASE("A status names the host, its catalogue and what it sees") {
+  StatusReport report;
+  report.identity.self.id = state::HostId("h1");
+  report.is_ready = true;
+  state::CatalogueRecord record;
+  record.key = "fleet";
+  record.revision = 4;
+  report.catalogue.push_back(record);
+  report.servers.push_back({state::ServerId("s1"), {}});
+  const nlohmann::json status =
+      nlohmann::json::parse(EncodeStatus(report).body);
+  CHECK(status["host"] == "h1");
+  CHECK(status["ready"] == true);
+  CHECK(status["catalogue"][0]["deleted"] == true);
+  CHECK(status["servers"][0]["phase"] == "unknown");
+}
+
+}  // namespace
+}  // namespace banyanknot::protocol
--- a/tools/check_auto.py
+++ b/tools/check_auto.py
@@ -12,7 +12,7 @@
     r"lower_bound|upper_bound|erase|emplace|insert|equal_range)\(|"
     r"auto&{0,2} \w+\s*=\s*std::(find\w*|lower_bound|upper_bound|min_element|"
     r"max_element|remove\w*|partition|next|prev|begin|unique)\b|"
-    r"auto&{0,2} \w+[,)]|auto&&\.\.\.")
+    r"auto&{0,2}\s*\w*\s*[,)]|auto&&\.\.\.")
 
 
 def main():
@@ -24,7 +24,7 @@
         if name.endswith("_generated.h"):
             continue
         with open(name, encoding="utf-8") as source:
-            text = re.sub(r"//[^\n]*", "", source.read())
+            text = re.sub(r"//[^\n]*|/\*.*?\*/", "", source.read())
         for match in re.finditer(r"\bauto\b", text):
             if not ALLOWED.match(text, match.start()):
                 line = text.count("\n", 0, match.start()) + 1
--- a/tools/test.sh
+++ b/tools/test.sh
@@ -7,6 +7,7 @@
 "$root/tools/format.sh" --check
 "$root/tools/check_includes.sh"
 "$root/tools/check_auto.py"
+"$root/tools/check_events.py"
 "$root/tools/generate_schemas.py" --check
 "$root/tools/lint.sh"
 ctest --test-dir "${BUILD_DIR:-$root/build}/test" --output-on-failure
