--- a/include/banyanknot/coordination/audit_kind.h
+++ b/include/banyanknot/coordination/audit_kind.h
@@ -14,8 +14,8 @@
   kEntryRefused,   ///< a catalogue entry was refused; the earlier one stays in
                    ///< force
   kEntryDeleted,   ///< a catalogue entry was deleted
-  kEntryConflict,  ///< two contents under one revision; the first stays in
-                   ///< force
+  kEntryConflict,  ///< two contents under one revision; the one with the
+                   ///< greater hash is in force
   kDomainState,    ///< a failure domain was taken out or put back
   kServerPhase,    ///< a backend server changed its phase
   kHostState,      ///< another host changed its state
--- a/include/banyanknot/coordination/peer_message.h
+++ b/include/banyanknot/coordination/peer_message.h
@@ -6,6 +6,7 @@
 #include <variant>
 #include <vector>
 
+#include "banyanknot/state/catalogue.h"
 #include "banyanknot/state/host_record.h"
 #include "banyanknot/state/server_phase.h"
 
@@ -16,6 +17,7 @@
   state::ListedHost host;
   std::uint64_t incarnation = 0;
   state::HostState host_state = state::HostState::kAlive;
+  std::uint32_t refutation = 0;  ///< raised by the host when it is suspected
 };
 
 /// \brief What one host tells another of a backend server.
@@ -32,11 +34,13 @@
   std::uint64_t hash = 0;  ///< over key, revision and content of all entries
 };
 
-/// \brief Which version of an entry a host has.
-struct EntryVersion {
-  std::string key;
-  std::uint64_t revision = 0;
-  std::uint64_t content_hash = 0;
+using state::EntryVersion;
+
+/// \brief One replaced part of an earlier text.
+struct TextSplice {
+  std::uint32_t offset = 0;   ///< in the earlier text, in bytes
+  std::uint32_t removed = 0;  ///< bytes of the earlier text left out
+  std::string inserted;       ///< stands in their place
 };
 
 /// \brief One entry, whole or as a change of an earlier version.
@@ -45,10 +49,10 @@
   std::uint64_t revision = 0;
   bool deleted = false;
   std::uint64_t base_revision = 0;  ///< 0 if `text` is the whole entry
-  std::uint32_t kept_prefix = 0;    ///< bytes of the base before `text`
-  std::uint32_t kept_suffix = 0;    ///< bytes of the base after `text`
+  std::uint64_t base_hash = 0;      ///< content hash of the base
   std::uint64_t content_hash = 0;   ///< of the whole text of the new version
-  std::string text;
+  std::string text;                 ///< the whole entry; empty with a base
+  std::vector<TextSplice> splices;  ///< of the base, in order, not overlapping
 };
 
 /// \brief Heartbeat; carries rumours and the sender's digest.
--- /dev/null
+++ b/include/banyanknot/coordination/view_guard.h
@@ -0,0 +1,26 @@
+#ifndef BANYANKNOT_COORDINATION_VIEW_GUARD_H_
+#define BANYANKNOT_COORDINATION_VIEW_GUARD_H_
+
+#include "banyanknot/coordination/view_trust.h"
+
+namespace banyanknot::coordination {
+
+/// \brief Tells whether decisions may rest on this host's view of the fleet.
+///
+/// Thread-safe. Asked at each decision to start work, so that a process that
+/// was paused notices it before it acts on what it knew earlier.
+/// \sa PauseDetector
+class ViewGuard {
+ public:
+  virtual ~ViewGuard() = default;
+
+  /// \brief How far the view may be relied on at this moment.
+  virtual ViewTrust Trust() = 0;
+
+  /// \brief Tells whether new work may go to any failure domain.
+  bool IsTrusted() { return this->Trust() == ViewTrust::kTrusted; }
+};
+
+}  // namespace banyanknot::coordination
+
+#endif  // BANYANKNOT_COORDINATION_VIEW_GUARD_H_
--- a/include/banyanknot/state/catalogue.h
+++ b/include/banyanknot/state/catalogue.h
@@ -86,11 +86,18 @@
   std::uint64_t revision = 0;
   std::uint64_t content_hash = 0;
   std::shared_ptr<const CatalogueContent> content;
-  std::string text;  ///< the JSON that was accepted; what peers are sent
+  std::shared_ptr<const std::string> text;  ///< the JSON that was accepted
 
   bool IsTombstone() const { return this->content == nullptr; }
 };
 
+/// \brief Which version of an entry a host has.
+struct EntryVersion {
+  std::string key;
+  std::uint64_t revision = 0;
+  std::uint64_t content_hash = 0;
+};
+
 }  // namespace banyanknot::state
 
 #endif  // BANYANKNOT_STATE_CATALOGUE_H_
--- a/include/banyanknot/state/catalogue_table.h
+++ b/include/banyanknot/state/catalogue_table.h
@@ -16,14 +16,17 @@
 
 /// \brief The catalogue in force on this host: one record an entry.
 ///
-/// Thread-safe. An entry only ever moves to a greater revision; deletions stay
-/// as tombstones, so that an older copy can't bring the entry back.
+/// Thread-safe. An entry only ever moves to a greater version, that is, to a
+/// greater revision or, within one revision, to a greater content hash;
+/// deletions stay as tombstones, so that an older copy can't bring the entry
+/// back. The order does not depend on which version arrived first.
 class CatalogueTable {
  public:
-  /// \brief Puts `record` in force if its revision is greater.
+  /// \brief Puts `record` in force if its version is greater.
   /// \returns the record that it replaced (revision 0 if there was none);
-  ///     kStaleRevision if the table holds the same or a newer revision;
-  ///     kConflict if it holds that revision with another content hash
+  ///     kStaleRevision if the table holds the same version or a newer
+  ///     revision;
+  ///     kConflict if it holds that revision with a greater content hash
   Result<CatalogueRecord, StateError> Put(const CatalogueRecord& record);
 
   std::optional<CatalogueRecord> Find(const std::string& key) const;
@@ -43,6 +46,9 @@
   /// \brief All services in force, ordered by key.
   std::vector<std::shared_ptr<const ServiceEntry>> Services() const;
 
+  /// \brief The versions of all entries, tombstones too, ordered by key.
+  std::vector<EntryVersion> Versions() const;
+
   /// \brief Greatest revision of any entry; 0 for an empty table.
   std::uint64_t MaxRevision() const;
 
--- a/include/banyanknot/state/host_record.h
+++ b/include/banyanknot/state/host_record.h
@@ -30,6 +30,7 @@
 struct HostRecord {
   ListedHost listed;
   std::uint64_t incarnation = 0;  ///< greater for each start of the host
+  std::uint32_t refutation = 0;   ///< raised by the host when it is suspected
   HostState host_state = HostState::kSuspect;
   TimePoint changed_at;    ///< when host_state last changed
   bool is_listed = false;  ///< stands in the platform's latest list
--- a/src/coordination/catalogue_keeper.cc
+++ b/src/coordination/catalogue_keeper.cc
@@ -40,7 +40,7 @@
                                state::CatalogueRecord& accepted) {
   accepted.key = entry.key;
   accepted.revision = entry.revision;
-  accepted.text = entry.text;
+  accepted.text = std::make_shared<const std::string>(entry.text);
   accepted.content_hash = entry.deleted ? 0 : HashOf(entry.text);
   if (!entry.deleted) {
     EntryResult decoded = this->decoder.Decode(entry.key, entry.text);
--- a/src/state/catalogue_table.cc
+++ b/src/state/catalogue_table.cc
@@ -13,7 +13,8 @@
         if (record.revision < current.revision) {
           return StateError::kStaleRevision;
         }
-        if (record.revision == current.revision) {
+        if (record.revision == current.revision &&
+            record.content_hash <= current.content_hash) {
           return record.content_hash == current.content_hash
                      ? StateError::kStaleRevision
                      : StateError::kConflict;
@@ -79,6 +80,20 @@
   return services;
 }
 
+std::vector<EntryVersion> CatalogueTable::Versions() const {
+  std::vector<EntryVersion> versions;
+  this->records.ForEach(
+      [&versions](const std::string& key, const CatalogueRecord& record) {
+        if (record.revision == 0) return;
+        versions.push_back({key, record.revision, record.content_hash});
+      });
+  std::sort(versions.begin(), versions.end(),
+            [](const EntryVersion& left, const EntryVersion& right) {
+              return left.key < right.key;
+            });
+  return versions;
+}
+
 std::uint64_t CatalogueTable::MaxRevision() const {
   std::uint64_t revision = 0;
   this->records.ForEach(
