--- a/tools/test.sh
+++ b/tools/test.sh
@@ -7,5 +7,6 @@
 "$root/tools/format.sh" --check
 "$root/tools/check_includes.sh"
 "$root/tools/check_auto.py"
+"$root/tools/check_generated.sh"
 "$root/tools/lint.sh"
 ctest --test-dir "${BUILD_DIR:-$root/build}/test" --output-on-failure
