Add the operators' program with check, diff, query, status, audit and explain

Cause: a catalogue could only be tried by publishing it, and a host only be read by hand. Change: a command a class over one interface; check decodes each entry with the code that hosts run and names file, JSON pointer and reason; diff lists what a publication would change; the others read one host or several. Seen: 13 wrong command lines end with status 2 without asking a host; the other statuses are told apart in tests. Conclusion: what a host would refuse is refused before it is published.

--- /dev/null
+++ b/ctl/command_line.h
@@ -0,0 +1,32 @@
+#ifndef BANYANKNOT_CTL_COMMAND_LINE_H_
+#define BANYANKNOT_CTL_COMMAND_LINE_H_
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "banyanknot/coordination/entry_decoder.h"
+#include "command.h"
+#include "host_client.h"
+
+namespace banyanknot::ctl {
+
+/// \brief Finds and runs the command that the command line names.
+class CommandLine {
+ public:
+  CommandLine(const coordination::EntryDecoder& decoder, HostClient& client);
+
+  /// \param words the command line without the program's name and flags
+  ExitStatus Run(const std::vector<std::string>& words, std::ostream& out,
+                 std::ostream& err);
+
+  /// \brief The help text: a line a command.
+  std::string Help() const;
+
+ private:
+  std::vector<std::unique_ptr<Command>> commands;
+};
+
+}  // namespace banyanknot::ctl
+
+#endif  // BANYANKNOT_CTL_COMMAND_LINE_H_
--- /dev/null
+++ b/ctl/http_host_client.h
@@ -0,0 +1,25 @@
+#ifndef BANYANKNOT_CTL_HTTP_HOST_CLIENT_H_
+#define BANYANKNOT_CTL_HTTP_HOST_CLIENT_H_
+
+#include "banyanknot/transport/io_threads.h"
+#include "banyanknot/transport/steady_clock.h"
+#include "host_client.h"
+
+namespace banyanknot::ctl {
+
+/// \brief Asks hosts over HTTP.
+class HttpHostClient : public HostClient {
+ public:
+  HttpHostClient();
+  FetchResult Fetch(const state::Endpoint& host,
+                    const protocol::HttpRequest& request,
+                    state::Duration timeout) override;
+
+ private:
+  transport::SteadyClock clock;
+  transport::IoThreads threads;
+};
+
+}  // namespace banyanknot::ctl
+
+#endif  // BANYANKNOT_CTL_HTTP_HOST_CLIENT_H_
--- /dev/null
+++ b/test/ctl/command_line_test.cc
@@ -0,0 +1,144 @@
+#include "command_line.h"
+
+#include <unistd.h>
+
+#include <catch2/catch.hpp>
+#include <cstdio>
+#include <fstream>
+#include <sstream>
+
+#include "banyanknot/protocol/catalogue_codec.h"
+
+namespace banyanknot::ctl {
+namespace {
+
+/// Answers every request with a canned response.
+class CannedHostClient : public HostClient {
+ public:
+  FetchResult Fetch(const state::Endpoint& host,
+                    const protocol::HttpRequest& request,
+                    state::Duration /*timeout*/) override {
+    this->hosts.push_back(host);
+    this->requests.push_back(request);
+    return this->result;
+  }
+
+  FetchResult result = protocol::HttpResponse{200, "{}"};
+  std::vector<state::Endpoint> hosts;
+  std::vector<protocol::HttpRequest> requests;
+};
+
+/// A file that is removed at the end of its test.
+class TemporaryFile {
+ public:
+  explicit TemporaryFile(const std::string& text) {
+    char pattern[] = "/tmp/banyanknotctl-XXXXXX";
+    const int descriptor = mkstemp(pattern);
+    REQUIRE(descriptor >= 0);
+    close(descriptor);
+    this->path = pattern;
+    std::ofstream(this->path) << text;
+  }
+  ~TemporaryFile() { std::remove(this->path.c_str()); }
+
+  std::string path;
+};
+
+struct RunResult {
+  ExitStatus status;
+  std::string out;
+  std::string err;
+};
+
+RunResult RunWords(HostClient& client, const std::vector<std::string>& words) {
+  const protocol::CatalogueCodec codec;
+  CommandLine commands(codec, client);
+  std::ostringstream out;
+  std::ostringstream err;
+  const ExitStatus status = commands.Run(words, out, err);
+  return {status, out.str(), err.str()};
+}
+
+constexpr const char* kGoodCatalogue =
+    R"({"fleet":{"owner":"ops"},"domain/a":{"id":"a","owner":"ops",)"
+    R"("state":"in"}})";
+
+TEST_CASE("check names file, pointer and reason of each fault") {
+  CannedHostClient client;
+  const TemporaryFile good(kGoodCatalogue);
+  const RunResult passed = RunWords(client, {"check", good.path});
+  CHECK(passed.status == ExitStatus::kOk);
+  CHECK(passed.out == "2 entries, 0 faults\n");
+
+  const TemporaryFile bad(
+      R"({"fleet":{"owner":"ops","hedge_budget":3},"domain/a":{"id":"b",)"
+      R"("owner":"ops","state":"in"}})");
+  const RunResult failed = RunWords(client, {"check", bad.path});
+  CHECK(failed.status == ExitStatus::kFault);
+  CHECK(failed.err.find(bad.path + ": /fleet/hedge_budget: ") !=
+        std::string::npos);
+  CHECK(failed.err.find(bad.path + ": /domain~1a/id: ") != std::string::npos);
+}
+
+TEST_CASE("diff lists what was added, removed and changed") {
+  CannedHostClient client;
+  const TemporaryFile before(kGoodCatalogue);
+  const TemporaryFile after(
+      R"({"fleet":{"owner":"other"},"domain/b":{"id":"b"}})");
+  const RunResult result = RunWords(client, {"diff", before.path, after.path});
+  CHECK(result.status == ExitStatus::kFault);
+  CHECK(result.out.find("- domain/a\n") != std::string::npos);
+  CHECK(result.out.find("+ domain/b\n") != std::string::npos);
+  CHECK(result.out.find("~ fleet\n") != std::string::npos);
+  CHECK(RunWords(client, {"diff", before.path, before.path}).status ==
+        ExitStatus::kOk);
+}
+
+TEST_CASE("Wrong command lines end with the usage status and ask no host") {
+  const std::vector<std::vector<std::string>> rows = {
+      {},
+      {"nonsense"},
+      {"check"},
+      {"check", "/nonexistent"},
+      {"diff", "one"},
+      {"status"},
+      {"status", "127.0.0.1"},
+      {"status", "127.0.0.1:99999"},
+      {"status", "127.0.0.1:1x"},
+      {"explain", "127.0.0.1:1"},
+      {"query", "127.0.0.1:1", "a"},
+      {"query", "127.0.0.1:1", "a", "100", "{not json"},
+      {"query", "127.0.0.1:1,127.0.0.1:2", "a", "100"},
+  };
+  for (const std::vector<std::string>& words : rows) {
+    CannedHostClient client;
+    const RunResult result = RunWords(client, words);
+    CHECK(result.status == ExitStatus::kUsage);
+    CHECK_FALSE(result.err.empty());
+    CHECK(client.requests.empty());
+  }
+}
+
+TEST_CASE("status asks every host and reports the worst outcome") {
+  CannedHostClient client;
+  client.result = protocol::HttpResponse{
+      200,
+      R"({"host":"h1","domain":"a","ready":true,"catalogue":[{"revision":7}],)"
+      R"("hosts":[{"state":"alive"}],"servers":[]})"};
+  const RunResult result =
+      RunWords(client, {"status", "127.0.0.1:1,127.0.0.1:2"});
+  CHECK(result.status == ExitStatus::kOk);
+  CHECK(client.hosts.size() == 2);
+  CHECK(result.out.find("h1 127.0.0.1:1 domain=a ready=yes revision=7") == 0);
+
+  client.result = transport::TransportError::kConnect;
+  CHECK(RunWords(client, {"status", "127.0.0.1:1"}).status ==
+        ExitStatus::kUnreachable);
+  client.result = protocol::HttpResponse{404, "{}"};
+  CHECK(RunWords(client, {"explain", "127.0.0.1:1", "a"}).status ==
+        ExitStatus::kFault);
+  CHECK(client.requests.back().target == "/explain?service=a");
+}
+
+}  // namespace
+}  // namespace banyanknot::ctl
