Admit work to backend servers by domain, phase, ownership and load

Cause: every server got all work, whatever its state; nothing kept the record of a server.

Change: FleetServerGate admits one sub-request at a time from what the server table holds. ServerPhaseRules decides the phase from replies, health, notes and lost connections: a new instance is cold for its whole warm-up whatever it says, leaving sticks to an instance, a lost connection asks for a confirmation. RendezvousColdSlotOwnership divides what a cold server bears over the hosts of its own failure domain, and a new owner waits out a takeover delay. ServerUpkeep follows the catalogue: servers of a domain that returns are presumed cold. The baseline gate stays behind the setting `policies`.

Each check was seen to fail on a broken policy: domain check for first attempts only; notes of an instance that left believed; only cold work counted at a cold server; replies from before a suspicion taken as confirmation; a returned domain not presumed cold; a timeout taken as a lost server.

Conclusion: the decisions are in place on one host; ownership over many hosts is tested next.

--- a/daemons/host_application.cc
+++ b/daemons/host_application.cc
@@ -11,6 +11,7 @@
 #include "banyanknot/Protocol"
 #include "banyanknot/Transport"
 #include "host_service.h"
+#include "server_parts.h"
 
 namespace banyanknot::daemons {
 namespace {
@@ -29,6 +30,13 @@
                                     : protocol::EncodeTextLogLine;
 }
 
+/// Keeps notes of backend servers to this host.
+class LocalServerNoteBoard : public coordination::ServerNoteBoard {
+ public:
+  void Publish(const coordination::ServerNote& /*note*/) override {}
+  void Subscribe(coordination::ServerNoteListener& /*listener*/) override {}
+};
+
 state::HostIdentity IdentityOf(const HostSettings& settings,
                                const coordination::WallClock& wall_clock) {
   state::HostIdentity identity;
@@ -58,8 +66,10 @@
         follower(clock, timers, platform, keeper),
         backend(threads.Context(), clock, kConnectionsPerServer),
         selector(random),
-        gate(clock),
-        executor(origin, clock, timers, backend, catalogue, selector, gate),
+        server_parts(settings.policies, clock, timers, random, catalogue,
+                     servers, hosts, identity, audit, board),
+        executor(origin, clock, timers, backend, catalogue, selector,
+                 server_parts.Gate()),
         operators(identity, clock, catalogue, hosts, servers, executor,
                   follower, audit, {&query_metrics}),
         service(clock, executor, query_metrics, operators),
@@ -85,7 +95,8 @@
   coordination::CatalogueFollower follower;
   transport::BackendHttpClient backend;
   coordination::RandomReplicaSelector selector;
-  coordination::OpenServerGate gate;
+  LocalServerNoteBoard board;
+  ServerParts server_parts;
   coordination::QueryExecutor executor;
   coordination::QueryMetrics query_metrics;
   OperatorService operators;
@@ -120,6 +131,7 @@
   std::printf("{\"caller_port\":%u}\n", state::ValueOf(port));
   std::fflush(stdout);
   this->parts->follower.Start();
+  this->parts->server_parts.Start();
   std::promise<void> stopped;
   boost::asio::signal_set signals(this->parts->threads.Context(), SIGTERM,
                                   SIGINT);
--- /dev/null
+++ b/daemons/server_parts.h
@@ -0,0 +1,42 @@
+#ifndef BANYANKNOT_DAEMONS_SERVER_PARTS_H_
+#define BANYANKNOT_DAEMONS_SERVER_PARTS_H_
+
+#include "banyanknot/Coordination"
+#include "policy_set.h"
+
+namespace banyanknot::daemons {
+
+/// \brief The parts that decide about backend servers, constructed in order.
+struct ServerParts {
+  ServerParts(PolicySet policies, const coordination::Clock& clock,
+              coordination::TimerService& timers,
+              coordination::RandomSource& random,
+              const state::CatalogueTable& catalogue,
+              state::ServerTable& servers, state::HostTable& hosts,
+              const state::HostIdentity& self, coordination::AuditSink& audit,
+              coordination::ServerNoteBoard& board);
+
+  /// \brief The gate of the policies that were asked for.
+  coordination::ServerGate& Gate();
+
+  /// \brief Starts what runs at intervals.
+  void Start();
+
+  const PolicySet policies;
+  coordination::OpenServerGate open_gate;
+  coordination::TableMembershipView view;
+  coordination::ViewHostRoster roster;
+  coordination::RendezvousColdSlotOwnership ownership;
+  coordination::ServerPhaseRules rules;
+  coordination::ServerPhaseJournal journal;
+  coordination::ServerNoteReceiver receiver;
+  coordination::ServerBackoff backoff;
+  coordination::ReportedSlotLimiter slots;
+  coordination::CatalogueDomainAdmission domains;
+  coordination::FleetServerGate fleet_gate;
+  coordination::ServerUpkeep upkeep;
+};
+
+}  // namespace banyanknot::daemons
+
+#endif  // BANYANKNOT_DAEMONS_SERVER_PARTS_H_
--- /dev/null
+++ b/include/banyanknot/coordination/servers/cold_slot_ownership.h
@@ -0,0 +1,26 @@
+#ifndef BANYANKNOT_COORDINATION_SERVERS_COLD_SLOT_OWNERSHIP_H_
+#define BANYANKNOT_COORDINATION_SERVERS_COLD_SLOT_OWNERSHIP_H_
+
+#include <cstdint>
+
+#include "banyanknot/state/identifier.h"
+
+namespace banyanknot::coordination {
+
+/// \brief Divides what a cold server bears among the hosts.
+///
+/// Thread-safe.
+class ColdSlotOwnership {
+ public:
+  virtual ~ColdSlotOwnership() = default;
+
+  /// \brief How many of the server's cold slots this host may use now.
+  /// \param cold_slots what the server bears while cold, from all hosts
+  virtual std::uint32_t OwnedSlots(const state::ServerId& server,
+                                   const state::FailureDomainId& domain,
+                                   std::uint32_t cold_slots) = 0;
+};
+
+}  // namespace banyanknot::coordination
+
+#endif  // BANYANKNOT_COORDINATION_SERVERS_COLD_SLOT_OWNERSHIP_H_
--- /dev/null
+++ b/include/banyanknot/coordination/servers/fleet_server_gate.h
@@ -0,0 +1,69 @@
+#ifndef BANYANKNOT_COORDINATION_SERVERS_FLEET_SERVER_GATE_H_
+#define BANYANKNOT_COORDINATION_SERVERS_FLEET_SERVER_GATE_H_
+
+#include <cstdint>
+#include <optional>
+
+#include "banyanknot/coordination/clock.h"
+#include "banyanknot/coordination/server_gate.h"
+#include "banyanknot/coordination/servers/cold_slot_ownership.h"
+#include "banyanknot/coordination/servers/domain_admission.h"
+#include "banyanknot/coordination/servers/server_backoff.h"
+#include "banyanknot/coordination/servers/server_connection_listener.h"
+#include "banyanknot/coordination/servers/server_phase_journal.h"
+#include "banyanknot/coordination/servers/server_phase_rules.h"
+#include "banyanknot/coordination/servers/slot_limiter.h"
+#include "banyanknot/state/server_record.h"
+
+namespace banyanknot::coordination {
+
+/// \brief Admits work by failure domain, phase, ownership, load and reach.
+///
+/// Thread-safe: what it knows of a server is in the server table, and each
+/// decision is one change of one record. \sa ServerPhaseRules
+class FleetServerGate : public ServerGate, public ServerConnectionListener {
+ public:
+  FleetServerGate(const Clock& clock, state::ServerTable& servers,
+                  DomainAdmission& domains, ColdSlotOwnership& ownership,
+                  const SlotLimiter& slots, const ServerBackoff& backoff,
+                  const ServerPhaseRules& rules, ServerPhaseJournal& journal);
+
+  PermitResult Acquire(const state::ServerEntry& server,
+                       WorkKind kind) override;
+  void Release(const ServerPermit& permit,
+               const BackendResult& result) override;
+  void OnClosedByServer(const state::ServerId& server,
+                        state::Duration quiet_for) override;
+
+ private:
+  std::uint32_t OwnedColdSlots(const state::ServerEntry& server);
+  std::optional<GateRefusal> Weigh(const state::ServerRecord& record,
+                                   WorkKind kind, std::uint32_t owned,
+                                   state::TimePoint now) const;
+  std::optional<GateRefusal> WeighCold(const state::ServerRecord& record,
+                                       WorkKind kind,
+                                       std::uint32_t owned) const;
+  PermitResult Grant(state::ServerRecord& record,
+                     const state::ServerEntry& server,
+                     state::TimePoint now) const;
+  MaybePhaseChange Learn(state::ServerRecord& record,
+                         const ServerPermit& permit,
+                         const BackendResult& result,
+                         state::TimePoint now) const;
+  MaybePhaseChange LearnFailure(state::ServerRecord& record,
+                                BackendFailure failure,
+                                state::TimePoint now) const;
+
+  const Clock& clock;
+  state::ServerTable& servers;
+  DomainAdmission& domains;
+  ColdSlotOwnership& ownership;
+  const SlotLimiter& slots;
+  const ServerBackoff& backoff;
+  const ServerPhaseRules& rules;
+  ServerPhaseJournal& journal;
+};
+
+}  // namespace banyanknot::coordination
+
+#endif  // BANYANKNOT_COORDINATION_SERVERS_FLEET_SERVER_GATE_H_
--- /dev/null
+++ b/include/banyanknot/coordination/servers/server_note_receiver.h
@@ -0,0 +1,32 @@
+#ifndef BANYANKNOT_COORDINATION_SERVERS_SERVER_NOTE_RECEIVER_H_
+#define BANYANKNOT_COORDINATION_SERVERS_SERVER_NOTE_RECEIVER_H_
+
+#include "banyanknot/coordination/clock.h"
+#include "banyanknot/coordination/server_note_listener.h"
+#include "banyanknot/coordination/servers/server_phase_journal.h"
+#include "banyanknot/coordination/servers/server_phase_rules.h"
+#include "banyanknot/state/server_record.h"
+
+namespace banyanknot::coordination {
+
+/// \brief Takes what other hosts learnt of backend servers into the table.
+///
+/// Thread-safe.
+class ServerNoteReceiver : public ServerNoteListener {
+ public:
+  ServerNoteReceiver(const Clock& clock, state::ServerTable& servers,
+                     const ServerPhaseRules& rules, ServerPhaseJournal& journal)
+      : clock(clock), servers(servers), rules(rules), journal(journal) {}
+
+  void OnServerNote(const ServerNote& note, const state::HostId& from) override;
+
+ private:
+  const Clock& clock;
+  state::ServerTable& servers;
+  const ServerPhaseRules& rules;
+  ServerPhaseJournal& journal;
+};
+
+}  // namespace banyanknot::coordination
+
+#endif  // BANYANKNOT_COORDINATION_SERVERS_SERVER_NOTE_RECEIVER_H_
--- /dev/null
+++ b/include/banyanknot/coordination/servers/server_phase_journal.h
@@ -0,0 +1,38 @@
+#ifndef BANYANKNOT_COORDINATION_SERVERS_SERVER_PHASE_JOURNAL_H_
+#define BANYANKNOT_COORDINATION_SERVERS_SERVER_PHASE_JOURNAL_H_
+
+#include <string>
+
+#include "banyanknot/coordination/audit_sink.h"
+#include "banyanknot/coordination/server_note_board.h"
+#include "banyanknot/coordination/servers/server_phase_change.h"
+
+namespace banyanknot::coordination {
+
+/// \brief Audits changes of servers' phases and tells the other hosts.
+///
+/// Thread-safe.
+class ServerPhaseJournal {
+ public:
+  ServerPhaseJournal(AuditSink& audit, ServerNoteBoard& board)
+      : audit(audit), board(board) {}
+
+  /// \brief Takes what this host learnt itself; `change` may be nothing.
+  void Record(const state::ServerId& server, const MaybePhaseChange& change);
+
+  /// \brief Takes what `host` told; it is audited and not spread again.
+  void RecordFromPeer(const state::ServerId& server,
+                      const MaybePhaseChange& change,
+                      const state::HostId& host);
+
+ private:
+  void Audit(const state::ServerId& server, const ServerPhaseChange& change,
+             const std::string& source);
+
+  AuditSink& audit;
+  ServerNoteBoard& board;
+};
+
+}  // namespace banyanknot::coordination
+
+#endif  // BANYANKNOT_COORDINATION_SERVERS_SERVER_PHASE_JOURNAL_H_
--- a/include/banyanknot/state/catalogue_table.h
+++ b/include/banyanknot/state/catalogue_table.h
@@ -1,6 +1,7 @@
 #ifndef BANYANKNOT_STATE_CATALOGUE_TABLE_H_
 #define BANYANKNOT_STATE_CATALOGUE_TABLE_H_
 
+#include <atomic>
 #include <cstdint>
 #include <memory>
 #include <optional>
@@ -52,7 +53,11 @@
   /// \brief Greatest revision of any entry; 0 for an empty table.
   std::uint64_t MaxRevision() const;
 
+  /// \brief Grows with each record put in force; tells cheaply of a change.
+  std::uint64_t ChangeCount() const { return this->change_count; }
+
  private:
+  std::atomic<std::uint64_t> change_count{0};
   ShardedTable<std::string, CatalogueRecord> records;
 };
 
--- a/include/banyanknot/state/server_record.h
+++ b/include/banyanknot/state/server_record.h
@@ -12,6 +12,20 @@
 
 namespace banyanknot::state {
 
+/// \brief What the catalogue says a server bears; copied from its entry.
+struct ServerLimits {
+  FailureDomainId domain;
+  std::uint32_t slots = 1;
+  std::uint32_t cold_slots = 1;
+  Duration warm_up{0};
+};
+
+/// \brief An instance and since when it is known.
+struct InstanceSighting {
+  InstanceId instance;   ///< empty if none was seen
+  TimePoint first_seen;  ///< counts as its start: it warms up from then on
+};
+
 /// \brief What this host knows of one backend server.
 struct ServerRecord {
   InstanceId instance;  ///< the instance seen last; empty if none was
@@ -25,6 +39,21 @@
   std::uint32_t consecutive_failures = 0;
   TimePoint last_failure_at;
   std::vector<InstanceId> left_instances;  ///< seen leaving; never live again
+
+  ServerLimits limits;
+  InstanceSighting sighting;           ///< of `instance`
+  InstanceSighting previous_sighting;  ///< of the instance before it
+  bool needs_confirmation = false;     ///< was warm; a reply of the same
+                                       ///< instance makes it so again
+  bool is_listed = true;               ///< stands in the catalogue in force
+  bool domain_was_out = false;  ///< its domain has not been seen in again
+  Duration usual_latency{0};    ///< slow moving average while warm; 0 if none
+  std::uint32_t good_replies = 0;        ///< in a row, while not warm
+  std::uint32_t slow_replies = 0;        ///< in a row, while warm
+  std::uint32_t others_in_progress = 0;  ///< reported, less this host's own
+  TimePoint last_reply_at;               ///< the epoch if there was none
+  TimePoint confirmed_at;  ///< latest start of work that `instance` answered
+  TimePoint retry_at;      ///< unreachable: no attempt before this moment
 };
 
 /// \brief The backend servers that this host knows of.
--- /dev/null
+++ b/src/coordination/servers/rendezvous_cold_slot_ownership.cc
@@ -0,0 +1,97 @@
+#include "banyanknot/coordination/servers/rendezvous_cold_slot_ownership.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <string>
+#include <utility>
+
+namespace banyanknot::coordination {
+namespace {
+
+std::uint64_t ScoreOf(const state::HostId& host, const state::ServerId& server,
+                      std::uint32_t slot) {
+  const std::string text =
+      host.Text() + "\n" + server.Text() + "\n" + std::to_string(slot);
+  return XXH3_64bits(text.data(), text.size());
+}
+
+bool IsOwner(const state::HostId& self, const std::vector<state::HostId>& hosts,
+             const state::ServerId& server, std::uint32_t slot) {
+  if (std::find(hosts.begin(), hosts.end(), self) == hosts.end()) return false;
+  const std::uint64_t own = ScoreOf(self, server, slot);
+  for (const state::HostId& host : hosts) {
+    if (host != self && ScoreOf(host, server, slot) >= own) return false;
+  }
+  return true;
+}
+
+}  // namespace
+
+RendezvousColdSlotOwnership::RendezvousColdSlotOwnership(
+    const Clock& clock, const HostRoster& roster, state::HostId self,
+    OwnershipTimes times)
+    : clock(clock), roster(roster), self(std::move(self)), times(times) {}
+
+std::uint32_t RendezvousColdSlotOwnership::OwnedSlots(
+    const state::ServerId& server, const state::FailureDomainId& domain,
+    std::uint32_t cold_slots) {
+  this->ObserveDomain(domain);
+  const std::optional<History> history = this->histories.Find(domain);
+  if (!history || history->observed_at - history->observed_since <
+                      this->times.takeover_delay) {
+    return 0;
+  }
+  std::uint32_t owned = 0;
+  for (std::uint32_t slot = 0; slot < cold_slots; ++slot) {
+    if (this->OwnsUnderAll(*history, server, slot)) ++owned;
+  }
+  return owned;
+}
+
+bool RendezvousColdSlotOwnership::OwnsUnderAll(const History& history,
+                                               const state::ServerId& server,
+                                               std::uint32_t slot) const {
+  for (const Roster& past : history.rosters) {
+    if (!IsOwner(this->self, past.hosts, server, slot)) return false;
+  }
+  return true;
+}
+
+void RendezvousColdSlotOwnership::Observe(
+    const std::vector<state::FailureDomainId>& domains) {
+  for (const state::FailureDomainId& domain : domains) {
+    this->ObserveDomain(domain);
+  }
+}
+
+void RendezvousColdSlotOwnership::ObserveDomain(
+    const state::FailureDomainId& domain) {
+  std::vector<state::HostId> hosts = this->roster.OwnersFor(domain);
+  std::sort(hosts.begin(), hosts.end());
+  const state::TimePoint now = this->clock.Now();
+  this->histories.Update(domain, [this, &hosts, now](History& history) {
+    this->Extend(history, std::move(hosts), now);
+  });
+}
+
+void RendezvousColdSlotOwnership::Extend(History& history,
+                                         std::vector<state::HostId> hosts,
+                                         state::TimePoint now) const {
+  if (history.rosters.empty() ||
+      now - history.observed_at > this->times.longest_gap) {
+    history.rosters.clear();
+    history.observed_since = now;
+  }
+  history.observed_at = std::max(history.observed_at, now);
+  if (history.rosters.empty() || history.rosters.back().hosts != hosts) {
+    history.rosters.push_back({now, std::move(hosts)});
+  }
+  // The oldest roster that was still in force when the delay began stays.
+  while (history.rosters.size() > 1 &&
+         now - history.rosters[1].since >= this->times.takeover_delay) {
+    history.rosters.pop_front();
+  }
+}
+
+}  // namespace banyanknot::coordination
--- /dev/null
+++ b/src/coordination/servers/server_upkeep.cc
@@ -0,0 +1,100 @@
+#include "banyanknot/coordination/servers/server_upkeep.h"
+
+#include <map>
+#include <memory>
+
+namespace banyanknot::coordination {
+namespace {
+
+constexpr state::Duration kInterval = state::Milliseconds(250);
+
+}  // namespace
+
+ServerUpkeep::ServerUpkeep(const Clock& clock, TimerService& timers,
+                           const state::CatalogueTable& catalogue,
+                           state::ServerTable& servers,
+                           RendezvousColdSlotOwnership& ownership,
+                           const ServerPhaseRules& rules,
+                           ServerPhaseJournal& journal)
+    : clock(clock),
+      timers(timers),
+      catalogue(catalogue),
+      servers(servers),
+      ownership(ownership),
+      rules(rules),
+      journal(journal) {}
+
+void ServerUpkeep::Start() {
+  this->RunOnce();
+  this->timers.RunAt(this->clock.Now() + kInterval, [this] { this->Start(); });
+}
+
+void ServerUpkeep::RunOnce() {
+  const std::uint64_t change = this->catalogue.ChangeCount();
+  if (this->followed_change != change) {
+    this->FollowCatalogue();
+    this->followed_change = change;
+  }
+  this->ownership.Observe(this->domains);
+}
+
+void ServerUpkeep::FollowCatalogue() {
+  const Listing listing = this->ListServers();
+  std::map<state::FailureDomainId, bool> is_out;
+  for (const auto& [id, entry] : listing) is_out[entry.domain] = false;
+  this->domains.clear();
+  for (auto& [domain, out] : is_out) {
+    out = this->catalogue.FindDomainState(domain) == state::DomainState::kOut;
+    this->domains.push_back(domain);
+  }
+  for (const auto& [id, entry] : listing) {
+    this->Follow(entry, is_out[entry.domain]);
+  }
+  this->MarkUnlisted(listing);
+}
+
+ServerUpkeep::Listing ServerUpkeep::ListServers() {
+  Listing listing;
+  const std::vector<std::shared_ptr<const state::ServiceEntry>> services =
+      this->catalogue.Services();
+  for (const std::shared_ptr<const state::ServiceEntry>& service : services) {
+    for (const state::ServerEntry& entry : service->servers) {
+      listing.emplace(entry.id, entry);
+    }
+  }
+  return listing;
+}
+
+void ServerUpkeep::Follow(const state::ServerEntry& entry, bool is_out) {
+  const state::TimePoint now = this->clock.Now();
+  MaybePhaseChange change;
+  this->servers.Update(entry.id, [&](state::ServerRecord& record) {
+    record.limits = {entry.domain, entry.slots, entry.cold_slots,
+                     entry.warm_up};
+    const bool returned = record.domain_was_out && !is_out;
+    const bool relisted = !record.is_listed;
+    record.domain_was_out = is_out;
+    record.is_listed = true;
+    if (returned || relisted) {
+      change = this->rules.PresumeCold(
+          record,
+          returned ? PhaseCause::kDomainReturned : PhaseCause::kListedAgain,
+          now);
+    }
+  });
+  this->journal.Record(entry.id, change);
+}
+
+void ServerUpkeep::MarkUnlisted(const Listing& listing) {
+  std::vector<state::ServerId> removed;
+  this->servers.ForEach(
+      [&](const state::ServerId& id, const state::ServerRecord& record) {
+        if (record.is_listed && listing.count(id) == 0) removed.push_back(id);
+      });
+  for (const state::ServerId& id : removed) {
+    this->servers.UpdateIfPresent(
+        id, [](state::ServerRecord& record) { record.is_listed = false; });
+  }
+}
+
+}  // namespace banyanknot::coordination
--- a/src/state/catalogue_table.cc
+++ b/src/state/catalogue_table.cc
@@ -9,7 +9,7 @@
     const CatalogueRecord& record) {
   using PutResult = Result<CatalogueRecord, StateError>;
   return this->records.Update(
-      record.key, [&record](CatalogueRecord& current) -> PutResult {
+      record.key, [this, &record](CatalogueRecord& current) -> PutResult {
         if (record.revision < current.revision) {
           return StateError::kStaleRevision;
         }
@@ -19,6 +19,7 @@
                      ? StateError::kStaleRevision
                      : StateError::kConflict;
         }
+        ++this->change_count;
         return std::exchange(current, record);
       });
 }
--- /dev/null
+++ b/test/coordination/servers/fakes.h
@@ -0,0 +1,80 @@
+#ifndef BANYANKNOT_TEST_COORDINATION_SERVERS_FAKES_H_
+#define BANYANKNOT_TEST_COORDINATION_SERVERS_FAKES_H_
+
+#include <functional>
+#include <utility>
+#include <vector>
+
+#include "banyanknot/Coordination"
+
+namespace banyanknot::coordination {
+
+/// \brief A clock that stands until it is moved.
+class FakeClock : public Clock {
+ public:
+  state::TimePoint Now() const override { return this->now; }
+  state::TimePoint now;
+};
+
+/// \brief Keeps functions until RunDue().
+class FakeTimerService : public TimerService {
+ public:
+  void RunAt(state::TimePoint when, std::function<void()> function) override {
+    this->functions.emplace_back(when, std::move(function));
+  }
+  void RunDue(state::TimePoint now) {
+    std::vector<std::pair<state::TimePoint, std::function<void()>>> waiting;
+    waiting.swap(this->functions);
+    for (auto& [when, function] : waiting) {
+      if (when <= now) {
+        function();
+      } else {
+        this->functions.emplace_back(when, std::move(function));
+      }
+    }
+  }
+
+ private:
+  std::vector<std::pair<state::TimePoint, std::function<void()>>> functions;
+};
+
+class RecordingAuditSink : public AuditSink {
+ public:
+  void Append(const AuditEvent& event) override {
+    this->events.push_back(event);
+  }
+  std::vector<AuditEvent> events;
+};
+
+/// \brief Keeps what is published and passes nothing on.
+class RecordingNoteBoard : public ServerNoteBoard {
+ public:
+  void Publish(const ServerNote& note) override { this->notes.push_back(note); }
+  void Subscribe(ServerNoteListener& /*listener*/) override {}
+  std::vector<ServerNote> notes;
+};
+
+/// \brief A roster that a test writes.
+class FixedRoster : public HostRoster {
+ public:
+  std::vector<state::HostId> OwnersFor(
+      const state::FailureDomainId& /*domain*/) const override {
+    return this->hosts;
+  }
+  std::size_t HostCount() const override { return this->hosts.size(); }
+  std::vector<state::HostId> hosts;
+};
+
+class FixedOwnership : public ColdSlotOwnership {
+ public:
+  std::uint32_t OwnedSlots(const state::ServerId& /*server*/,
+                           const state::FailureDomainId& /*domain*/,
+                           std::uint32_t /*cold_slots*/) override {
+    return this->owned;
+  }
+  std::uint32_t owned = 1;
+};
+
+}  // namespace banyanknot::coordination
+
+#endif  // BANYANKNOT_TEST_COORDINATION_SERVERS_FAKES_H_
