Accept catalogue entries by rules that every host applies alike

Cause: an entry that reads well as JSON could still leave gaps in the key space, name replicas that do not exist or give a server no slots, and a bad entry was audited each time that it was read.

Change: CheckContent is a pure function of the content alone, so that hosts that skipped different revisions agree; a change of owner is audited by its events and not refused, since refusing it would depend on the entry replaced. Refusals and conflicts are audited once a version, failure domains going out and in with their own event. The follower with one watch a host becomes PollingCatalogueFollower, the baseline of the interface.

--- a/daemons/host_application.cc
+++ b/daemons/host_application.cc
@@ -82,7 +82,7 @@
   coordination::SeededRandomSource random;
   transport::PlatformHttpClient platform;
   coordination::CatalogueKeeper keeper;
-  coordination::CatalogueFollower follower;
+  coordination::PollingCatalogueFollower follower;
   transport::BackendHttpClient backend;
   coordination::RandomReplicaSelector selector;
   coordination::OpenServerGate gate;
--- a/include/banyanknot/coordination/catalogue_follower.h
+++ b/include/banyanknot/coordination/catalogue_follower.h
@@ -1,40 +1,20 @@
 #ifndef BANYANKNOT_COORDINATION_CATALOGUE_FOLLOWER_H_
 #define BANYANKNOT_COORDINATION_CATALOGUE_FOLLOWER_H_
 
-#include <atomic>
-#include <cstdint>
-
-#include "banyanknot/coordination/catalogue_keeper.h"
-#include "banyanknot/coordination/clock.h"
-#include "banyanknot/coordination/configuration_source.h"
-#include "banyanknot/coordination/timer_service.h"
-
 namespace banyanknot::coordination {
 
-/// \brief Follows the platform's catalogue with one waiting watch.
+/// \brief Follows the catalogue that the platform publishes.
 ///
 /// Thread-safe.
 class CatalogueFollower {
  public:
-  CatalogueFollower(const Clock& clock, TimerService& timers,
-                    ConfigurationSource& source, CatalogueKeeper& keeper);
+  virtual ~CatalogueFollower() = default;
 
   /// \brief Starts to follow; goes on until the process ends.
-  void Start();
+  virtual void Start() = 0;
 
   /// \brief Tells whether the platform has answered at least once.
-  bool HasRead() const { return this->has_read; }
-
- private:
-  void WatchNext();
-  void OnUpdate(const RawUpdateResult& result);
-
-  const Clock& clock;
-  TimerService& timers;
-  ConfigurationSource& source;
-  CatalogueKeeper& keeper;
-  std::atomic<std::uint64_t> revision{0};
-  std::atomic<bool> has_read{false};
+  virtual bool HasRead() const = 0;
 };
 
 }  // namespace banyanknot::coordination
--- a/include/banyanknot/coordination/catalogue_keeper.h
+++ b/include/banyanknot/coordination/catalogue_keeper.h
@@ -1,44 +1,55 @@
 #ifndef BANYANKNOT_COORDINATION_CATALOGUE_KEEPER_H_
 #define BANYANKNOT_COORDINATION_CATALOGUE_KEEPER_H_
 
-#include <cstddef>
+#include <optional>
 #include <string>
 #include <vector>
 
 #include "banyanknot/coordination/audit_sink.h"
-#include "banyanknot/coordination/configuration_source.h"
+#include "banyanknot/coordination/catalogue_intake.h"
 #include "banyanknot/coordination/entry_decoder.h"
 #include "banyanknot/state/catalogue_table.h"
+#include "banyanknot/state/sharded_table.h"
 
 namespace banyanknot::coordination {
 
-/// \brief Accepts or refuses catalogue entries, whoever sends them.
+/// \brief Accepts or refuses catalogue entries and audits what it decided.
 ///
-/// Thread-safe. Acceptance is a pure function of the entry and of the one that
-/// it replaces, so that every host decides alike. The greatest revision wins,
-/// entry by entry, deletions included; a refused entry leaves the last good
-/// one in force.
-class CatalogueKeeper {
+/// Thread-safe. Acceptance is a pure function of the entry alone, so that
+/// every host decides alike, whichever revisions it skipped. The greatest
+/// version wins, entry by entry, deletions included; a refused entry leaves
+/// the last good one in force and is audited once a version.
+/// \sa CheckContent
+class CatalogueKeeper : public CatalogueIntake {
  public:
   CatalogueKeeper(state::CatalogueTable& table, const EntryDecoder& decoder,
                   AuditSink& audit);
 
-  /// \brief Takes entries from `source` (`platform` or a host id).
-  /// \returns the entries that came into force
-  std::vector<state::CatalogueRecord> Apply(
-      const std::vector<RawEntry>& entries, const std::string& source);
+  std::vector<CatalogueChange> Apply(const std::vector<RawEntry>& entries,
+                                     const std::string& source) override;
+  bool WasRefused(const state::EntryVersion& version) const override;
 
  private:
-  bool ApplyOne(const RawEntry& entry, const std::string& source,
-                state::CatalogueRecord& accepted);
-  void AuditRefusal(const RawEntry& entry, const std::string& source,
-                    const std::vector<EntryFault>& faults);
-  void AuditAcceptance(const state::CatalogueRecord& record,
+  std::optional<CatalogueChange> ApplyOne(const RawEntry& entry,
+                                          const std::string& source);
+  bool IsNewer(const state::CatalogueRecord& record) const;
+  void RefuseOlder(const state::CatalogueRecord& record,
+                   const std::string& source);
+  EntryResult DecodeAndCheck(const RawEntry& entry) const;
+  void Refuse(const RawEntry& entry, std::uint64_t content_hash,
+              const std::string& source, const std::vector<EntryFault>& faults);
+  bool IsFirstRefusal(const state::EntryVersion& version);
+  void AuditAcceptance(const CatalogueChange& change,
                        const std::string& source);
+  void AuditDomainState(const CatalogueChange& change,
+                        const std::string& source);
+  void AuditConflict(const state::CatalogueRecord& record,
+                     const std::string& source, const std::string& detail);
 
   state::CatalogueTable& table;
   const EntryDecoder& decoder;
   AuditSink& audit;
+  state::ShardedTable<std::string, state::EntryVersion> refused;  // by key
 };
 
 }  // namespace banyanknot::coordination
--- /dev/null
+++ b/include/banyanknot/coordination/fleet/text_splices.h
@@ -0,0 +1,28 @@
+#ifndef BANYANKNOT_COORDINATION_FLEET_TEXT_SPLICES_H_
+#define BANYANKNOT_COORDINATION_FLEET_TEXT_SPLICES_H_
+
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "banyanknot/coordination/peer_message.h"
+
+namespace banyanknot::coordination {
+
+/// \brief Finds the splices that turn `base` into `target`.
+///
+/// Takes time linear in both sizes. The result is right for any two texts and
+/// small where the texts share long parts in the same order.
+/// \sa ApplySplices
+std::vector<TextSplice> FindSplices(const std::string& base,
+                                    const std::string& target);
+
+/// \brief Applies splices to `base`.
+/// \returns nothing if the splices overlap, are out of order or reach past the
+///     end of `base`
+std::optional<std::string> ApplySplices(const std::string& base,
+                                        const std::vector<TextSplice>& splices);
+
+}  // namespace banyanknot::coordination
+
+#endif  // BANYANKNOT_COORDINATION_FLEET_TEXT_SPLICES_H_
--- /dev/null
+++ b/include/banyanknot/coordination/polling_catalogue_follower.h
@@ -0,0 +1,41 @@
+#ifndef BANYANKNOT_COORDINATION_POLLING_CATALOGUE_FOLLOWER_H_
+#define BANYANKNOT_COORDINATION_POLLING_CATALOGUE_FOLLOWER_H_
+
+#include <atomic>
+#include <cstdint>
+
+#include "banyanknot/coordination/catalogue_follower.h"
+#include "banyanknot/coordination/catalogue_intake.h"
+#include "banyanknot/coordination/clock.h"
+#include "banyanknot/coordination/configuration_source.h"
+#include "banyanknot/coordination/timer_service.h"
+
+namespace banyanknot::coordination {
+
+/// \brief Keeps one waiting watch on the platform all the time: the baseline.
+///
+/// Thread-safe. \sa SparseCatalogueFollower
+class PollingCatalogueFollower : public CatalogueFollower {
+ public:
+  PollingCatalogueFollower(const Clock& clock, TimerService& timers,
+                           ConfigurationSource& source,
+                           CatalogueIntake& intake);
+
+  void Start() override;
+  bool HasRead() const override { return this->has_read; }
+
+ private:
+  void WatchNext();
+  void OnUpdate(const RawUpdateResult& result);
+
+  const Clock& clock;
+  TimerService& timers;
+  ConfigurationSource& source;
+  CatalogueIntake& intake;
+  std::atomic<std::uint64_t> revision{0};
+  std::atomic<bool> has_read{false};
+};
+
+}  // namespace banyanknot::coordination
+
+#endif  // BANYANKNOT_COORDINATION_POLLING_CATALOGUE_FOLLOWER_H_
--- /dev/null
+++ b/include/banyanknot/state/content_hash.h
@@ -0,0 +1,14 @@
+#ifndef BANYANKNOT_STATE_CONTENT_HASH_H_
+#define BANYANKNOT_STATE_CONTENT_HASH_H_
+
+#include <cstdint>
+#include <string_view>
+
+namespace banyanknot::state {
+
+/// \brief Hash of a text; the same on every host and in every release.
+std::uint64_t ContentHash(std::string_view text);
+
+}  // namespace banyanknot::state
+
+#endif  // BANYANKNOT_STATE_CONTENT_HASH_H_
--- a/src/coordination/catalogue_keeper.cc
+++ b/src/coordination/catalogue_keeper.cc
@@ -1,88 +1,170 @@
 #include "banyanknot/coordination/catalogue_keeper.h"
 
-#include <xxhash.h>
-
 #include <memory>
 #include <utility>
 
+#include "banyanknot/coordination/catalogue_rules.h"
+#include "banyanknot/state/content_hash.h"
+
 namespace banyanknot::coordination {
 namespace {
 
-std::uint64_t HashOf(const std::string& text) {
-  return XXH3_64bits(text.data(), text.size());
-}
-
 std::string OwnerOf(const state::CatalogueRecord& record) {
   if (record.IsTombstone()) return "";
   return std::visit([](const auto& content) { return content.owner; },
                     *record.content);
 }
 
+/// The state that a version of a failure domain's entry gives it; kIn where
+/// there is no entry.
+state::DomainState DomainStateOf(const state::CatalogueRecord& record) {
+  if (record.IsTombstone()) return state::DomainState::kIn;
+  const state::FailureDomainEntry* domain =
+      std::get_if<state::FailureDomainEntry>(record.content.get());
+  return domain == nullptr ? state::DomainState::kIn : domain->domain_state;
+}
+
+std::string Describe(const std::vector<EntryFault>& faults) {
+  std::string detail;
+  for (const EntryFault& fault : faults) {
+    if (!detail.empty()) detail += "; ";
+    detail += fault.pointer + " " + fault.reason;
+  }
+  return detail;
+}
+
 }  // namespace
 
 CatalogueKeeper::CatalogueKeeper(state::CatalogueTable& table,
                                  const EntryDecoder& decoder, AuditSink& audit)
     : table(table), decoder(decoder), audit(audit) {}
 
-std::vector<state::CatalogueRecord> CatalogueKeeper::Apply(
+std::vector<CatalogueChange> CatalogueKeeper::Apply(
     const std::vector<RawEntry>& entries, const std::string& source) {
-  std::vector<state::CatalogueRecord> accepted;
+  std::vector<CatalogueChange> changes;
   for (const RawEntry& entry : entries) {
-    state::CatalogueRecord record;
-    if (this->ApplyOne(entry, source, record)) {
-      accepted.push_back(std::move(record));
-    }
+    std::optional<CatalogueChange> change = this->ApplyOne(entry, source);
+    if (change) changes.push_back(std::move(*change));
   }
-  return accepted;
+  return changes;
 }
 
-bool CatalogueKeeper::ApplyOne(const RawEntry& entry, const std::string& source,
-                               state::CatalogueRecord& accepted) {
-  accepted.key = entry.key;
-  accepted.revision = entry.revision;
-  accepted.text = std::make_shared<const std::string>(entry.text);
-  accepted.content_hash = entry.deleted ? 0 : HashOf(entry.text);
+EntryResult CatalogueKeeper::DecodeAndCheck(const RawEntry& entry) const {
+  EntryResult decoded = this->decoder.Decode(entry.key, entry.text);
+  if (!state::IsOk(decoded)) return decoded;
+  std::vector<EntryFault> faults = CheckContent(state::ValueOf(decoded));
+  if (!faults.empty()) return faults;
+  return decoded;
+}
+
+std::optional<CatalogueChange> CatalogueKeeper::ApplyOne(
+    const RawEntry& entry, const std::string& source) {
+  CatalogueChange change;
+  state::CatalogueRecord& current = change.current;
+  current.key = entry.key;
+  current.revision = entry.revision;
+  current.text = std::make_shared<const std::string>(entry.text);
+  current.content_hash = entry.deleted ? 0 : state::ContentHash(entry.text);
+  if (!this->IsNewer(current)) {
+    this->RefuseOlder(current, source);
+    return std::nullopt;
+  }
   if (!entry.deleted) {
-    EntryResult decoded = this->decoder.Decode(entry.key, entry.text);
+    EntryResult decoded = this->DecodeAndCheck(entry);
     if (!state::IsOk(decoded)) {
-      this->AuditRefusal(entry, source, state::ErrorOf(decoded));
-      return false;
+      this->Refuse(entry, current.content_hash, source,
+                   state::ErrorOf(decoded));
+      return std::nullopt;
     }
-    accepted.content = std::make_shared<const state::CatalogueContent>(
+    current.content = std::make_shared<const state::CatalogueContent>(
         state::TakeValue(std::move(decoded)));
   }
-  const state::Result<state::CatalogueRecord, state::StateError> replaced =
-      this->table.Put(accepted);
-  if (state::IsOk(replaced)) {
-    this->AuditAcceptance(accepted, source);
-    return true;
+  state::Result<state::CatalogueRecord, state::StateError> replaced =
+      this->table.Put(current);
+  if (!state::IsOk(replaced)) return std::nullopt;
+  change.replaced = state::TakeValue(std::move(replaced));
+  this->AuditAcceptance(change, source);
+  return change;
+}
+
+bool CatalogueKeeper::IsNewer(const state::CatalogueRecord& record) const {
+  const std::optional<state::CatalogueRecord> held =
+      this->table.Find(record.key);
+  if (!held) return true;
+  return record.revision > held->revision ||
+         (record.revision == held->revision &&
+          record.content_hash > held->content_hash);
+}
+
+void CatalogueKeeper::RefuseOlder(const state::CatalogueRecord& record,
+                                  const std::string& source) {
+  const std::optional<state::CatalogueRecord> held =
+      this->table.Find(record.key);
+  if (!held || held->revision != record.revision ||
+      held->content_hash == record.content_hash) {
+    return;
   }
-  if (state::ErrorOf(replaced) == state::StateError::kConflict) {
-    this->audit.Append({AuditKind::kEntryConflict, entry.key, entry.revision,
-                        OwnerOf(accepted), accepted.content_hash, source,
-                        "other content under a revision already in force"});
+  if (this->IsFirstRefusal(
+          {record.key, record.revision, record.content_hash})) {
+    this->AuditConflict(record, source, "refused: the one in force is kept");
   }
-  return false;
 }
 
-void CatalogueKeeper::AuditRefusal(const RawEntry& entry,
-                                   const std::string& source,
-                                   const std::vector<EntryFault>& faults) {
-  std::string detail;
-  for (const EntryFault& fault : faults) {
-    if (!detail.empty()) detail += "; ";
-    detail += fault.pointer + " " + fault.reason;
-  }
+bool CatalogueKeeper::IsFirstRefusal(const state::EntryVersion& version) {
+  return this->refused.Update(
+      version.key, [&version](state::EntryVersion& last) {
+        const bool is_first = last.revision != version.revision ||
+                              last.content_hash != version.content_hash;
+        last = version;
+        return is_first;
+      });
+}
+
+bool CatalogueKeeper::WasRefused(const state::EntryVersion& version) const {
+  const std::optional<state::EntryVersion> last =
+      this->refused.Find(version.key);
+  return last && last->revision == version.revision &&
+         last->content_hash == version.content_hash;
+}
+
+void CatalogueKeeper::Refuse(const RawEntry& entry, std::uint64_t content_hash,
+                             const std::string& source,
+                             const std::vector<EntryFault>& faults) {
+  if (!this->IsFirstRefusal({entry.key, entry.revision, content_hash})) return;
   this->audit.Append({AuditKind::kEntryRefused, entry.key, entry.revision, "",
-                      HashOf(entry.text), source, detail});
+                      content_hash, source, Describe(faults)});
 }
 
-void CatalogueKeeper::AuditAcceptance(const state::CatalogueRecord& record,
+void CatalogueKeeper::AuditAcceptance(const CatalogueChange& change,
                                       const std::string& source) {
-  const AuditKind kind = record.IsTombstone() ? AuditKind::kEntryDeleted
-                                              : AuditKind::kEntryAccepted;
-  this->audit.Append({kind, record.key, record.revision, OwnerOf(record),
-                      record.content_hash, source, "in force"});
+  const state::CatalogueRecord& current = change.current;
+  if (change.replaced.revision == current.revision) {
+    this->AuditConflict(current, source, "in force: it has the greater hash");
+  }
+  const AuditKind kind = current.IsTombstone() ? AuditKind::kEntryDeleted
+                                               : AuditKind::kEntryAccepted;
+  this->audit.Append({kind, current.key, current.revision, OwnerOf(current),
+                      current.content_hash, source, "in force"});
+  this->AuditDomainState(change, source);
+}
+
+void CatalogueKeeper::AuditDomainState(const CatalogueChange& change,
+                                       const std::string& source) {
+  const state::DomainState before = DomainStateOf(change.replaced);
+  const state::DomainState after = DomainStateOf(change.current);
+  if (before == after) return;
+  this->audit.Append(
+      {AuditKind::kDomainState, change.current.key, change.current.revision,
+       OwnerOf(change.current), change.current.content_hash, source,
+       std::string(NameOf(before)) + " to " + std::string(NameOf(after))});
+}
+
+void CatalogueKeeper::AuditConflict(const state::CatalogueRecord& record,
+                                    const std::string& source,
+                                    const std::string& detail) {
+  this->audit.Append({AuditKind::kEntryConflict, record.key, record.revision,
+                      OwnerOf(record), record.content_hash, source,
+                      "two contents under one revision; " + detail});
 }
 
 }  // namespace banyanknot::coordination
--- a/src/coordination/catalogue_follower.cc
+++ b/src/coordination/polling_catalogue_follower.cc
@@ -1,4 +1,4 @@
-#include "banyanknot/coordination/catalogue_follower.h"
+#include "banyanknot/coordination/polling_catalogue_follower.h"
 
 namespace banyanknot::coordination {
 namespace {
@@ -8,30 +8,31 @@
 
 }  // namespace
 
-CatalogueFollower::CatalogueFollower(const Clock& clock, TimerService& timers,
-                                     ConfigurationSource& source,
-                                     CatalogueKeeper& keeper)
-    : clock(clock), timers(timers), source(source), keeper(keeper) {}
+PollingCatalogueFollower::PollingCatalogueFollower(const Clock& clock,
+                                                   TimerService& timers,
+                                                   ConfigurationSource& source,
+                                                   CatalogueIntake& intake)
+    : clock(clock), timers(timers), source(source), intake(intake) {}
 
-void CatalogueFollower::Start() {
+void PollingCatalogueFollower::Start() {
   this->source.Read(
       0, [this](const RawUpdateResult& result) { this->OnUpdate(result); });
 }
 
-void CatalogueFollower::WatchNext() {
+void PollingCatalogueFollower::WatchNext() {
   this->source.Watch(
       this->revision, kWatchWait,
       [this](const RawUpdateResult& result) { this->OnUpdate(result); });
 }
 
-void CatalogueFollower::OnUpdate(const RawUpdateResult& result) {
+void PollingCatalogueFollower::OnUpdate(const RawUpdateResult& result) {
   if (!state::IsOk(result)) {
     this->timers.RunAt(this->clock.Now() + kRetryDelay,
                        [this] { this->WatchNext(); });
     return;
   }
   const RawUpdate& update = state::ValueOf(result);
-  this->keeper.Apply(update.entries, "platform");
+  this->intake.Apply(update.entries, "platform");
   if (update.revision > this->revision) this->revision = update.revision;
   this->has_read = true;
   this->WatchNext();
--- /dev/null
+++ b/test/coordination/catalogue_keeper_test.cc
@@ -0,0 +1,133 @@
+#include "banyanknot/coordination/catalogue_keeper.h"
+
+#include <catch2/catch.hpp>
+#include <string>
+#include <vector>
+
+#include "coordination/support/line_entry_decoder.h"
+#include "coordination/support/recording_audit_sink.h"
+
+namespace banyanknot::coordination {
+namespace {
+
+struct Fixture {
+  state::CatalogueTable table;
+  LineEntryDecoder decoder;
+  RecordingAuditSink audit;
+  CatalogueKeeper keeper{table, decoder, audit};
+
+  std::string TextOf(const std::string& key) {
+    const std::optional<state::CatalogueRecord> record = table.Find(key);
+    return !record || record->IsTombstone() ? "" : *record->text;
+  }
+};
+
+TEST_CASE("CatalogueKeeper decides entry by entry") {
+  struct Case {
+    const char* name;
+    std::vector<RawEntry> entries;
+    std::string in_force;  ///< text of domain/a; empty for none
+    std::size_t refused;
+    std::size_t conflicts;
+  };
+  const std::vector<Case> cases{
+      {"newer replaces",
+       {{"domain/a", 1, false, "1"}, {"domain/a", 2, false, "2"}},
+       "2",
+       0,
+       0},
+      {"older is ignored",
+       {{"domain/a", 2, false, "2"}, {"domain/a", 1, false, "1"}},
+       "2",
+       0,
+       0},
+      {"bad leaves the last good one",
+       {{"domain/a", 1, false, "1"}, {"domain/a", 2, false, "bad"}},
+       "1",
+       1,
+       0},
+      {"bad is audited once a revision",
+       {{"domain/a", 2, false, "bad"},
+        {"domain/a", 2, false, "bad"},
+        {"domain/a", 3, false, "bad"}},
+       "",
+       2,
+       0},
+      {"others go on",
+       {{"domain/b", 1, false, "bad"}, {"domain/a", 1, false, "1"}},
+       "1",
+       1,
+       0},
+      {"deletion stays",
+       {{"domain/a", 1, false, "1"},
+        {"domain/a", 2, true, ""},
+        {"domain/a", 1, false, "1"}},
+       "",
+       0,
+       0},
+      {"a later revision brings it back",
+       {{"domain/a", 2, true, ""}, {"domain/a", 3, false, "3"}},
+       "3",
+       0,
+       0},
+      {"same version twice",
+       {{"domain/a", 1, false, "1"}, {"domain/a", 1, false, "1"}},
+       "1",
+       0,
+       0},
+  };
+  for (const Case& item : cases) {
+    INFO(item.name);
+    Fixture fixture;
+    fixture.keeper.Apply(item.entries, "platform");
+    CHECK(fixture.TextOf("domain/a") == item.in_force);
+    CHECK(fixture.audit.Count(AuditKind::kEntryRefused) == item.refused);
+    CHECK(fixture.audit.Count(AuditKind::kEntryConflict) == item.conflicts);
+  }
+}
+
+TEST_CASE("Two contents under one revision end alike in either order") {
+  const RawEntry first{"domain/a", 4, false, "first"};
+  const RawEntry second{"domain/a", 4, false, "second"};
+  Fixture left;
+  left.keeper.Apply({first, second, first, second}, "platform");
+  Fixture right;
+  right.keeper.Apply({second, first, second, first}, "platform");
+  CHECK(left.TextOf("domain/a") == right.TextOf("domain/a"));
+  const std::size_t left_conflicts =
+      left.audit.Count(AuditKind::kEntryConflict);
+  CHECK(left_conflicts >= 1);
+  CHECK(right.audit.Count(AuditKind::kEntryConflict) >= 1);
+  left.keeper.Apply({first, second, first, second}, "platform");
+  CHECK(left.audit.Count(AuditKind::kEntryConflict) == left_conflicts);
+}
+
+TEST_CASE("Hosts that skipped different revisions decide alike") {
+  const std::vector<RawEntry> all{{"domain/a", 1, false, "1"},
+                                  {"domain/a", 2, false, "bad"},
+                                  {"domain/a", 3, false, "out"},
+                                  {"domain/a", 4, false, "bad"}};
+  for (unsigned skipped = 0; skipped < 16; ++skipped) {
+    Fixture fixture;
+    for (unsigned index = 0; index < all.size(); ++index) {
+      const bool is_kept = index == 2 || (skipped & (1U << index)) == 0;
+      if (is_kept) fixture.keeper.Apply({all[index]}, "platform");
+    }
+    CHECK(fixture.TextOf("domain/a") == "out");
+  }
+}
+
+TEST_CASE("Taking a failure domain out and back is audited") {
+  Fixture fixture;
+  fixture.keeper.Apply({{"domain/a", 1, false, "in"}}, "platform");
+  CHECK(fixture.audit.Count(AuditKind::kDomainState) == 0);
+  fixture.keeper.Apply({{"domain/a", 2, false, "out"}}, "h1");
+  fixture.keeper.Apply({{"domain/a", 3, false, "out again"}}, "h1");
+  CHECK(fixture.audit.Count(AuditKind::kDomainState) == 1);
+  fixture.keeper.Apply({{"domain/a", 4, true, ""}}, "platform");
+  CHECK(fixture.audit.Count(AuditKind::kDomainState) == 2);
+  CHECK(fixture.audit.Events().back().detail == "out to in");
+}
+
+}  // namespace
+}  // namespace banyanknot::coordination
--- /dev/null
+++ b/test/coordination/support/line_entry_decoder.h
@@ -0,0 +1,32 @@
+#ifndef BANYANKNOT_TEST_COORDINATION_SUPPORT_LINE_ENTRY_DECODER_H_
+#define BANYANKNOT_TEST_COORDINATION_SUPPORT_LINE_ENTRY_DECODER_H_
+
+#include <string>
+
+#include "banyanknot/coordination/entry_decoder.h"
+
+namespace banyanknot::coordination {
+
+/// \brief Reads every entry as a failure domain's, so that tests need no codec.
+///
+/// A text that starts with `out` takes it out, one that starts with `bad` is
+/// refused, any other puts it in.
+class LineEntryDecoder : public EntryDecoder {
+ public:
+  EntryResult Decode(const std::string& key,
+                     const std::string& text) const override {
+    if (text.rfind("bad", 0) == 0) {
+      return std::vector<EntryFault>{{"", "is bad"}};
+    }
+    state::FailureDomainEntry domain;
+    domain.id = state::FailureDomainId(key.substr(key.find('/') + 1));
+    domain.owner = "operators";
+    domain.domain_state = text.rfind("out", 0) == 0 ? state::DomainState::kOut
+                                                    : state::DomainState::kIn;
+    return state::CatalogueContent(domain);
+  }
+};
+
+}  // namespace banyanknot::coordination
+
+#endif  // BANYANKNOT_TEST_COORDINATION_SUPPORT_LINE_ENTRY_DECODER_H_
