--- a/daemons/host_application.cc
+++ b/daemons/host_application.cc
@@ -92,7 +92,7 @@
   coordination::SeededRandomSource random;
   transport::PlatformHttpClient platform;
   coordination::CatalogueKeeper keeper;
-  coordination::CatalogueFollower follower;
+  coordination::PollingCatalogueFollower follower;
   transport::BackendHttpClient backend;
   coordination::RandomReplicaSelector selector;
   LocalServerNoteBoard board;
