Carry messages between hosts over TCP

Cause: the peer messages had a codec and nothing to carry them.

Change: PeerTcpLink opens one connection to each peer that there is something for and takes the connections of others. The opener sends keep-alives and replaces a connection after two without a reply, the acceptor closes one on which no whole frame came, an opener's connection without messages is closed, queues drop their oldest frames, and each of these is counted.

--- /dev/null
+++ b/src/transport/peer_channel.h
@@ -0,0 +1,101 @@
+#ifndef BANYANKNOT_SRC_TRANSPORT_PEER_CHANNEL_H_
+#define BANYANKNOT_SRC_TRANSPORT_PEER_CHANNEL_H_
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/strand.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "banyanknot/transport/peer_tcp_link.h"
+#include "transport/peer_counters.h"
+#include "transport/peer_frame_reader.h"
+#include "transport/peer_queue.h"
+
+namespace banyanknot::transport::internal {
+
+class PeerChannelConnection;
+
+/// \brief Sends frames to one peer; connects when there is something to send.
+///
+/// A connection whose keep-alives go unanswered is replaced; one that carried
+/// no message for long is closed, and so is the channel.
+class PeerChannel : public std::enable_shared_from_this<PeerChannel> {
+ public:
+  using IdleHandler = std::function<void(std::shared_ptr<PeerChannel>)>;
+
+  /// \param idle called when the channel has closed for lack of messages
+  PeerChannel(boost::asio::io_context& context, state::Endpoint peer,
+              const PeerLinkLimits& limits,
+              std::shared_ptr<PeerCounters> counters, IdleHandler idle);
+
+  const state::Endpoint& Peer() const { return this->peer; }
+
+  /// \brief Queues a frame; works on after the channel was idle, too.
+  void Send(std::string frame);
+  void Close();
+
+ private:
+  friend class PeerChannelConnection;
+
+  void Pump();
+  /// Goes on with what is queued; says that it is idle if nothing is.
+  void PumpOrRest();
+  void OnConnectFailed();
+  void OnConnectionEnded(const PeerChannelConnection* ended);
+
+  boost::asio::strand<boost::asio::io_context::executor_type> strand;
+  const state::Endpoint peer;
+  const PeerLinkLimits limits;
+  const std::shared_ptr<PeerCounters> counters;
+  const IdleHandler idle;
+  PeerQueue queue;
+  boost::asio::steady_timer reconnect_timer;
+  std::shared_ptr<PeerChannelConnection> connection;
+  bool is_waiting = false;  // for the delay after a failed connection
+  bool is_closed = false;
+};
+
+/// \brief One connection of a PeerChannel, from its opening to its end.
+///
+/// Runs on the channel's strand.
+class PeerChannelConnection
+    : public PeerFrameSink,
+      public std::enable_shared_from_this<PeerChannelConnection> {
+ public:
+  explicit PeerChannelConnection(std::shared_ptr<PeerChannel> channel);
+
+  void Connect();
+  /// \brief Writes what is due next, unless a write is under way.
+  void Pump();
+  void Close();
+
+ private:
+  bool OnFrame(protocol::PeerFrameKind kind,
+               const std::string& payload) override;
+  void OnUnknownFrame() override {}
+  void OnBadFrame() override;
+  void OnReadFailed() override { this->Close(); }
+  void OnConnected();
+  void Write(std::string frame);
+  void TickLater();
+  void OnTick();
+
+  const std::shared_ptr<PeerChannel> channel;
+  boost::asio::ip::tcp::socket socket;
+  PeerFrameReader reader;
+  boost::asio::steady_timer timer;
+  std::string writing;
+  state::Duration quiet_time{0};  // since the last message was written
+  std::size_t unanswered = 0;     // keep-alives since the last reply
+  bool is_keep_alive_due = false;
+  bool is_writing = false;
+  bool is_connected = false;
+  bool is_closed = false;
+};
+
+}  // namespace banyanknot::transport::internal
+
+#endif  // BANYANKNOT_SRC_TRANSPORT_PEER_CHANNEL_H_
--- /dev/null
+++ b/src/transport/peer_receiver.h
@@ -0,0 +1,57 @@
+#ifndef BANYANKNOT_SRC_TRANSPORT_PEER_RECEIVER_H_
+#define BANYANKNOT_SRC_TRANSPORT_PEER_RECEIVER_H_
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "banyanknot/coordination/peer_link.h"
+#include "banyanknot/transport/peer_tcp_link.h"
+#include "transport/peer_counters.h"
+#include "transport/peer_frame_reader.h"
+
+namespace banyanknot::transport::internal {
+
+/// \brief A connection that another host opened: takes its messages.
+class PeerReceiver : public PeerFrameSink,
+                     public std::enable_shared_from_this<PeerReceiver> {
+ public:
+  using ClosedHandler = std::function<void(std::shared_ptr<PeerReceiver>)>;
+
+  /// \param closed called once when the connection has ended
+  PeerReceiver(boost::asio::ip::tcp::socket socket,
+               coordination::PeerHandler& handler, const PeerLinkLimits& limits,
+               std::shared_ptr<PeerCounters> counters, ClosedHandler closed);
+
+  void Start();
+  void Close();
+
+ private:
+  bool OnFrame(protocol::PeerFrameKind kind,
+               const std::string& payload) override;
+  void OnUnknownFrame() override;
+  void OnBadFrame() override;
+  void OnReadFailed() override { this->CloseNow(); }
+  bool Deliver(const std::string& payload);
+  void AnswerKeepAlive();
+  void CheckLater();
+  void CloseNow();
+
+  boost::asio::ip::tcp::socket socket;
+  coordination::PeerHandler& handler;
+  const PeerLinkLimits limits;
+  const std::shared_ptr<PeerCounters> counters;
+  ClosedHandler closed;
+  PeerFrameReader reader;
+  boost::asio::steady_timer check_timer;
+  std::string keep_alive_reply;
+  bool is_replying = false;
+  bool is_heard = true;  // a whole frame came since the last check
+  bool is_closed = false;
+};
+
+}  // namespace banyanknot::transport::internal
+
+#endif  // BANYANKNOT_SRC_TRANSPORT_PEER_RECEIVER_H_
