--- a/src/protocol/peer_reader.cc
+++ b/src/protocol/peer_reader.cc
@@ -77,16 +77,11 @@
 
 std::optional<coordination::EntryPatch> ReadPatch(
     const wire::EntryPatch& patch) {
-  coordination::EntryPatch read;
-  read.key = Read(patch.key());
-  read.revision = patch.revision();
-  read.deleted = patch.deleted();
-  read.base_revision = patch.base_revision();
-  read.base_hash = patch.base_hash();
-  read.content_hash = patch.content_hash();
-  read.text = Read(patch.text());
-  read.splices = ReadAll(patch.splices(), &ReadSplice);
-  return read;
+  return coordination::EntryPatch{
+      Read(patch.key()),  patch.revision(),
+      patch.deleted(),    patch.base_revision(),
+      patch.base_hash(),  patch.content_hash(),
+      Read(patch.text()), ReadAll(patch.splices(), &ReadSplice)};
 }
 
 std::optional<state::Record> ReadRecord(const wire::Record& record) {
--- a/test/protocol/peer_codec_test.cc
+++ b/test/protocol/peer_codec_test.cc
@@ -31,6 +31,10 @@
           state::ServerPhase::kLeaving, state::Milliseconds(1'234)};
 }
 
+coordination::EntryPatch SomePatch() {
+  return {"fleet", 9, true, 8, 2, 3, "text", {{4, 5, "new"}}};
+}
+
 state::Action SomeAction() {
   return {{state::HostId("west.2"), {0xABCDEF, 7}, 0xFEDC},
           state::ServiceId("swipes"),
@@ -58,9 +62,7 @@
       {"news", coordination::PeerNews{{SomeRumour()}, {SomeNote()}}},
       {"offer", coordination::PeerOffer{{{"service/a", 4, 5}}}},
       {"pull", coordination::PeerPull{{{"service/b", 6, 7}}}},
-      {"patches",
-       coordination::PeerPatches{
-           {{"fleet", 9, true, 8, 1, 3, "text", {{2, 4, "x"}}}}}},
+      {"patches", coordination::PeerPatches{{SomePatch()}}},
       {"action", coordination::PeerAction{11, {"127.0.0.1", 9}, SomeAction()}},
       {"action result",
        coordination::PeerActionResult{12,
@@ -130,8 +132,8 @@
   CHECK(ping.digest.hash == 88);
   REQUIRE(ping.rumours.size() == 1);
   CHECK(ping.rumours[0].incarnation == 41);
-  CHECK(ping.rumours[0].host_state == state::HostState::kDead);
   CHECK(ping.rumours[0].refutation == 6);
+  CHECK(ping.rumours[0].host_state == state::HostState::kDead);
   REQUIRE(ping.notes.size() == 1);
   CHECK(ping.notes[0].server == state::ServerId("till-1"));
   CHECK(ping.notes[0].instance == state::InstanceId("i9"));
@@ -141,22 +143,20 @@
 
 TEST_CASE("Patches and versions keep their members") {
   const coordination::PeerPatches patches =
-      SentAndRead(coordination::PeerPatches{
-          {{"fleet", 9, true, 8, 1, 3, "text", {{2, 4, "x"}}}}});
+      SentAndRead(coordination::PeerPatches{{SomePatch()}});
   REQUIRE(patches.patches.size() == 1);
   const coordination::EntryPatch& patch = patches.patches[0];
   CHECK(patch.key == "fleet");
   CHECK(patch.revision == 9);
   CHECK(patch.deleted);
   CHECK(patch.base_revision == 8);
-  CHECK(patch.base_revision == 8);
-  CHECK(patch.base_hash == 1);
-  REQUIRE(patch.splices.size() == 1);
-  CHECK(patch.splices[0].offset == 2);
-  CHECK(patch.splices[0].removed == 4);
-  CHECK(patch.splices[0].inserted == "x");
+  CHECK(patch.base_hash == 2);
   CHECK(patch.content_hash == 3);
   CHECK(patch.text == "text");
+  REQUIRE(patch.splices.size() == 1);
+  CHECK(patch.splices[0].offset == 4);
+  CHECK(patch.splices[0].removed == 5);
+  CHECK(patch.splices[0].inserted == "new");
   const coordination::PeerPull pull =
       SentAndRead(coordination::PeerPull{{{"service/b", 6, 7}}});
   REQUIRE(pull.have.size() == 1);
