--- a/include/banyanknot/transport/http_server.h
+++ b/include/banyanknot/transport/http_server.h
@@ -42,6 +42,7 @@
   std::size_t max_body_bytes = 1u << 20;
   std::size_t max_header_bytes = 16u << 10;
   std::size_t max_connections = 4096;
+  state::Duration accept_delay{0};  ///< cost of a new connection
 };
 
 /// \brief Serves HTTP/1.1 with keep-alive, one request at a time a connection.
@@ -68,6 +69,9 @@
 
   std::size_t Connections() const;
 
+  /// \brief Number of connections that were closed for the limit so far.
+  std::uint64_t RefusedConnections() const;
+
   struct Impl;  ///< hidden from callers
 
  private:
--- a/src/transport/http_server.cc
+++ b/src/transport/http_server.cc
@@ -3,6 +3,7 @@
 #include <atomic>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/strand.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
@@ -41,6 +42,7 @@
   const HttpServerLimits limits;
   tcp::acceptor acceptor;
   std::atomic<bool> is_shut_down{false};
+  std::atomic<std::uint64_t> refused_connections{0};
   mutable std::mutex mutex;
   std::unordered_set<std::shared_ptr<internal::ServerConnection>> connections;
 };
@@ -254,12 +256,24 @@
   std::shared_ptr<internal::ServerConnection> connection;
   {
     const std::lock_guard<std::mutex> lock(this->mutex);
-    if (this->connections.size() >= this->limits.max_connections) return;
+    if (this->connections.size() >= this->limits.max_connections) {
+      ++this->refused_connections;
+      return;
+    }
     connection = std::make_shared<internal::ServerConnection>(
         this->shared_from_this(), std::move(socket));
     this->connections.insert(connection);
   }
-  connection->Start();
+  if (this->limits.accept_delay.count() == 0) {
+    connection->Start();
+    return;
+  }
+  const std::shared_ptr<asio::steady_timer> timer =
+      std::make_shared<asio::steady_timer>(this->context,
+                                           this->limits.accept_delay);
+  timer->async_wait([timer, connection](const beast::error_code& /*error*/) {
+    connection->Start();
+  });
 }
 
 HttpServer::HttpServer(asio::io_context& context, HttpHandler& handler,
@@ -317,6 +331,10 @@
   }
 }
 
+std::uint64_t HttpServer::RefusedConnections() const {
+  return this->impl->refused_connections;
+}
+
 std::size_t HttpServer::Connections() const {
   const std::lock_guard<std::mutex> lock(this->impl->mutex);
   return this->impl->connections.size();
