--- a/daemons/host_application.cc
+++ b/daemons/host_application.cc
@@ -10,6 +10,7 @@
 #include "banyanknot/Coordination"
 #include "banyanknot/Protocol"
 #include "banyanknot/Transport"
+#include "host_policies.h"
 #include "host_service.h"
 
 namespace banyanknot::daemons {
@@ -40,9 +41,10 @@
         keeper(catalogue, codec, audit),
         follower(clock, timers, platform, keeper),
         backend(threads.Context(), clock, kConnectionsPerServer),
-        selector(random),
         gate(clock),
-        executor(origin, clock, timers, backend, catalogue, selector, gate),
+        policies(settings.policies, clock, random, catalogue, servers, gate),
+        executor(origin, clock, timers, backend, catalogue,
+                 policies.ForQueries(), counters),
         service(executor, follower),
         server(threads.Context(), service, {protocol::kMaxCallerRequestBytes}) {
   }
@@ -60,8 +62,10 @@
   coordination::CatalogueKeeper keeper;
   coordination::CatalogueFollower follower;
   transport::BackendHttpClient backend;
-  coordination::RandomReplicaSelector selector;
+  state::ServerTable servers;
+  state::QueryCounters counters;
   coordination::OpenServerGate gate;
+  HostPolicies policies;
   coordination::QueryExecutor executor;
   HostService service;
   transport::HttpServer server;
--- a/daemons/host_settings.cc
+++ b/daemons/host_settings.cc
@@ -1,6 +1,7 @@
 #include "host_settings.h"
 
 #include <fstream>
+#include <optional>
 #include <sstream>
 
 #include "banyanknot/protocol/json_reader.h"
@@ -50,7 +51,14 @@
   settings.platform = ReadEndpoint(reader, "platform");
   settings.threads = static_cast<std::size_t>(
       reader.UnsignedOr("threads", settings.threads, kMaxThreads));
+  const std::optional<PolicySet> policies =
+      state::FindValue(kPolicySetNames, reader.StringOr("policies", "full"));
   if (reader.Error()) return OneFault(*reader.Error());
+  if (!policies) {
+    return std::vector<coordination::EntryFault>{
+        {"/policies", "must be full or naive"}};
+  }
+  settings.policies = *policies;
   return settings;
 }
 
--- /dev/null
+++ b/include/banyanknot/coordination/query/load_aware_replica_selector.h
@@ -0,0 +1,35 @@
+#ifndef BANYANKNOT_COORDINATION_QUERY_LOAD_AWARE_REPLICA_SELECTOR_H_
+#define BANYANKNOT_COORDINATION_QUERY_LOAD_AWARE_REPLICA_SELECTOR_H_
+
+#include <vector>
+
+#include "banyanknot/coordination/clock.h"
+#include "banyanknot/coordination/random_source.h"
+#include "banyanknot/coordination/replica_selector.h"
+#include "banyanknot/state/server_record.h"
+
+namespace banyanknot::coordination {
+
+/// \brief Takes the better of two random replicas, by load and reply time.
+///
+/// The load is what a server reported, fading with the age of the report, and
+/// at least what is in flight from here. Servers that are not known to be warm
+/// come after warm ones, and leaving ones last. A server that was slow or
+/// failing is tried again once that is long ago.
+///
+/// Thread-safe. \sa RandomReplicaSelector
+class LoadAwareReplicaSelector : public ReplicaSelector {
+ public:
+  LoadAwareReplicaSelector(const Clock& clock, RandomSource& random,
+                           const state::ServerTable& servers);
+  void Rank(std::vector<const state::ServerEntry*>& candidates) override;
+
+ private:
+  const Clock& clock;
+  RandomSource& random;
+  const state::ServerTable& servers;
+};
+
+}  // namespace banyanknot::coordination
+
+#endif  // BANYANKNOT_COORDINATION_QUERY_LOAD_AWARE_REPLICA_SELECTOR_H_
--- /dev/null
+++ b/include/banyanknot/coordination/query/quantile_hedge_policy.h
@@ -0,0 +1,46 @@
+#ifndef BANYANKNOT_COORDINATION_QUERY_QUANTILE_HEDGE_POLICY_H_
+#define BANYANKNOT_COORDINATION_QUERY_QUANTILE_HEDGE_POLICY_H_
+
+#include <cstddef>
+#include <optional>
+#include <vector>
+
+#include "banyanknot/coordination/query/hedge_policy.h"
+#include "banyanknot/coordination/query/reply_time_histogram.h"
+#include "banyanknot/coordination/query/token_budget.h"
+#include "banyanknot/state/catalogue_table.h"
+#include "banyanknot/state/sharded_table.h"
+
+namespace banyanknot::coordination {
+
+/// \brief Hedges attempts that take longer than a quantile of reply times.
+///
+/// The quantile is the fleet policy's, or a higher one where the fleet's hedge
+/// budget would not last for it. Thread-safe.
+class QuantileHedgePolicy : public HedgePolicy {
+ public:
+  explicit QuantileHedgePolicy(const state::CatalogueTable& catalogue)
+      : catalogue(catalogue) {}
+
+  std::optional<state::Duration> DelayOf(
+      const state::ServiceId& service) override;
+  bool TryTake(const state::ServiceId& service) override;
+  void OnSent(const state::ServiceId& service, std::size_t count) override;
+  void OnReplyTimes(const state::ServiceId& service,
+                    const std::vector<state::Duration>& times) override;
+
+ private:
+  struct Tracker {
+    ReplyTimeHistogram times;
+    TokenBudget budget;
+    std::optional<state::Duration> delay;  // as of the last refresh
+    std::size_t added = 0;                 // times since the last refresh
+  };
+
+  const state::CatalogueTable& catalogue;
+  state::ShardedTable<state::ServiceId, Tracker> trackers;
+};
+
+}  // namespace banyanknot::coordination
+
+#endif  // BANYANKNOT_COORDINATION_QUERY_QUANTILE_HEDGE_POLICY_H_
--- a/include/banyanknot/coordination/query_executor.h
+++ b/include/banyanknot/coordination/query/query_executor.h
@@ -1,19 +1,22 @@
-#ifndef BANYANKNOT_COORDINATION_QUERY_EXECUTOR_H_
-#define BANYANKNOT_COORDINATION_QUERY_EXECUTOR_H_
+#ifndef BANYANKNOT_COORDINATION_QUERY_QUERY_EXECUTOR_H_
+#define BANYANKNOT_COORDINATION_QUERY_QUERY_EXECUTOR_H_
 
 #include <atomic>
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
+#include <string>
 #include <vector>
 
 #include "banyanknot/coordination/backend_client.h"
 #include "banyanknot/coordination/clock.h"
-#include "banyanknot/coordination/query_run.h"
-#include "banyanknot/coordination/replica_selector.h"
-#include "banyanknot/coordination/server_gate.h"
+#include "banyanknot/coordination/query/query_policies.h"
+#include "banyanknot/coordination/query/query_run.h"
+#include "banyanknot/coordination/query/shard_map_table.h"
 #include "banyanknot/coordination/timer_service.h"
 #include "banyanknot/state/catalogue_table.h"
+#include "banyanknot/state/query_counters.h"
 #include "banyanknot/state/sharded_table.h"
 
 namespace banyanknot::coordination {
@@ -28,9 +31,10 @@
 class QueryExecutor {
  public:
   /// \param origin drawn at random for this incarnation of the host
+  /// \param policies must outlive the executor
   QueryExecutor(std::uint64_t origin, const Clock& clock, TimerService& timers,
                 BackendClient& backend, const state::CatalogueTable& catalogue,
-                ReplicaSelector& selector, ServerGate& gate);
+                const QueryPolicies& policies, state::QueryCounters& counters);
 
   /// \brief Runs a query.
   /// \param handler called exactly once, possibly before Run() returns
@@ -40,23 +44,51 @@
   /// \brief Stops a query whose caller has gone; its handler is still called.
   void Cancel(const state::RequestId& id);
 
-  /// \brief Number of queries that have no answer yet.
+  /// \brief Number of queries that still have attempts or no answer yet.
   std::size_t InFlight() const;
 
  private:
-  using Event = std::function<QueryEffects(QueryRun&)>;
+  enum class EventKind {
+    kStart,
+    kResult,
+    kWake,
+    kStop,
+  };
+
+  struct Event {
+    EventKind kind = EventKind::kStart;
+    std::uint32_t attempt = 0;            // of kResult
+    std::optional<BackendResult> result;  // of kResult
+  };
 
   struct Entry {
     std::shared_ptr<QueryRun> run;
     AnswerHandler handler;
+    AdmissionTicket ticket;
     std::vector<Event> inbox;
     bool is_draining = false;  // a thread is handling events of this run
   };
 
+  struct Refusal {
+    state::Outcome outcome = state::Outcome::kNotRun;
+    std::string reason;
+    state::Duration retry_after{0};
+  };
+
+  std::optional<Refusal> Begin(const state::RequestId& id,
+                               const state::Query& query,
+                               AnswerHandler& handler);
+  void Start(const state::RequestId& id, Entry entry);
   void Post(const state::RequestId& id, Event event);
   void Drain(const state::RequestId& id, QueryRun& run);
   std::vector<Event> TakeInbox(const state::RequestId& id);
-  void Perform(const state::RequestId& id, QueryEffects effects);
+  QueryEffects Handle(QueryRun& run, Event event);
+  void Perform(const state::RequestId& id, const QueryRun& run,
+               QueryEffects effects);
+  void PostAt(state::TimePoint when, const state::RequestId& id,
+              EventKind kind);
+  void Answer(const state::RequestId& id, const QueryRun& run,
+              state::Answer answer);
   void Send(const state::RequestId& id, const state::SubRequest& request);
   void RemoveIfSettled(const state::RequestId& id, const QueryRun& run);
 
@@ -64,13 +96,13 @@
   const Clock& clock;
   TimerService& timers;
   BackendClient& backend;
-  const state::CatalogueTable& catalogue;
-  ReplicaSelector& selector;
-  ServerGate& gate;
+  const QueryPolicies policies;
+  state::QueryCounters& counters;
+  ShardMapTable maps;
   std::atomic<std::uint64_t> next_sequence{1};
   state::ShardedTable<state::RequestId, Entry> entries;
 };
 
 }  // namespace banyanknot::coordination
 
-#endif  // BANYANKNOT_COORDINATION_QUERY_EXECUTOR_H_
+#endif  // BANYANKNOT_COORDINATION_QUERY_QUERY_EXECUTOR_H_
--- /dev/null
+++ b/include/banyanknot/coordination/query/reported_snapshot_policy.h
@@ -0,0 +1,45 @@
+#ifndef BANYANKNOT_COORDINATION_QUERY_REPORTED_SNAPSHOT_POLICY_H_
+#define BANYANKNOT_COORDINATION_QUERY_REPORTED_SNAPSHOT_POLICY_H_
+
+#include <cstdint>
+#include <vector>
+
+#include "banyanknot/coordination/clock.h"
+#include "banyanknot/coordination/query/snapshot_policy.h"
+#include "banyanknot/state/server_record.h"
+#include "banyanknot/state/sharded_table.h"
+
+namespace banyanknot::coordination {
+
+/// \brief Chooses a snapshot that every shard can serve, by server reports.
+///
+/// Prefers the newest one that all replicas hold, so that any replica can
+/// serve any shard; failing that, the newest that one replica of each shard
+/// holds. Reports lag, so the choice may prove wrong: then ChooseNext().
+///
+/// Thread-safe. A choice is kept for a few milliseconds, so that its cost does
+/// not grow with the rate of queries.
+class ReportedSnapshotPolicy : public SnapshotPolicy {
+ public:
+  ReportedSnapshotPolicy(const Clock& clock, const state::ServerTable& servers);
+
+  std::uint64_t ChooseFirst(const ShardMap& map) override;
+  std::uint64_t ChooseNext(const ShardMap& map,
+                           const std::vector<SnapshotEvidence>& evidence,
+                           const std::vector<std::uint64_t>& tried) override;
+
+ private:
+  struct Choice {
+    std::uint64_t snapshot = 0;
+    state::TimePoint made_at;
+    const ShardMap* map = nullptr;  // compared, never read
+  };
+
+  const Clock& clock;
+  const state::ServerTable& servers;
+  state::ShardedTable<state::ServiceId, Choice> choices;
+};
+
+}  // namespace banyanknot::coordination
+
+#endif  // BANYANKNOT_COORDINATION_QUERY_REPORTED_SNAPSHOT_POLICY_H_
--- a/include/banyanknot/state/catalogue_table.h
+++ b/include/banyanknot/state/catalogue_table.h
@@ -47,6 +47,9 @@
   std::uint64_t MaxRevision() const;
 
  private:
+  std::shared_ptr<const CatalogueContent> FindContent(
+      const std::string& key) const;
+
   ShardedTable<std::string, CatalogueRecord> records;
 };
 
--- /dev/null
+++ b/include/banyanknot/state/query_counters.h
@@ -0,0 +1,59 @@
+#ifndef BANYANKNOT_STATE_QUERY_COUNTERS_H_
+#define BANYANKNOT_STATE_QUERY_COUNTERS_H_
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <mutex>
+
+#include "banyanknot/state/outcome.h"
+#include "banyanknot/state/reply_verdict.h"
+
+namespace banyanknot::state {
+
+/// \brief Counts of what queries did.
+struct QueryTally {
+  std::array<std::uint64_t, kReplyVerdictNames.size()> verdicts{};
+  std::array<std::uint64_t, kOutcomeNames.size()> outcomes{};
+  std::uint64_t first_attempts = 0;
+  std::uint64_t hedges = 0;
+  std::uint64_t retries = 0;
+  std::uint64_t snapshot_changes = 0;  ///< queries begun again on another one
+
+  std::uint64_t& Of(ReplyVerdict verdict) {
+    return this->verdicts[static_cast<std::size_t>(verdict)];
+  }
+  std::uint64_t Of(ReplyVerdict verdict) const {
+    return this->verdicts[static_cast<std::size_t>(verdict)];
+  }
+  std::uint64_t& Of(Outcome outcome) {
+    return this->outcomes[static_cast<std::size_t>(outcome)];
+  }
+  std::uint64_t Of(Outcome outcome) const {
+    return this->outcomes[static_cast<std::size_t>(outcome)];
+  }
+
+  QueryTally& operator+=(const QueryTally& other);
+};
+
+/// \brief Sums the tallies of all queries of this host.
+///
+/// Thread-safe: shards, each under its own lock; a thread adds to its own.
+class QueryCounters {
+ public:
+  void Add(const QueryTally& tally);
+  QueryTally Total() const;
+
+ private:
+  static constexpr std::size_t kShards = 16;
+  struct Shard {
+    mutable std::mutex mutex;
+    QueryTally tally;
+  };
+
+  std::array<Shard, kShards> shards;
+};
+
+}  // namespace banyanknot::state
+
+#endif  // BANYANKNOT_STATE_QUERY_COUNTERS_H_
--- a/include/banyanknot/state/sharded_table.h
+++ b/include/banyanknot/state/sharded_table.h
@@ -18,9 +18,9 @@
 
 /// \brief A hash table in shards, each under its own lock.
 ///
-/// Thread-safe. Functions handed to Update(), UpdateIfPresent() and ForEach()
-/// run under the lock of one shard: they change the record that they are given
-/// and call nothing outside it.
+/// Thread-safe. Functions handed to Update(), UpdateIfPresent(),
+/// ReadIfPresent() and ForEach() run under the lock of one shard: they change
+/// the record that they are given and call nothing outside it.
 template <typename Key, typename Record, typename Hash = std::hash<Key>>
 class ShardedTable {
  public:
@@ -43,6 +43,18 @@
     return found->second;
   }
 
+  /// \brief Reads the record of `key` in place, without a copy.
+  /// \returns false if there is none
+  template <typename Visit>
+  bool ReadIfPresent(const Key& key, Visit visit) const {
+    const Shard& shard = this->ShardOf(key);
+    const std::lock_guard<std::mutex> lock(shard.mutex);
+    const auto found = shard.records.find(key);
+    if (found == shard.records.end()) return false;
+    visit(found->second);
+    return true;
+  }
+
   /// \brief Inserts `record` unless `key` has one.
   /// \returns true if it was inserted
   bool Insert(const Key& key, Record record) {
--- /dev/null
+++ b/src/coordination/query/class_admission.cc
@@ -0,0 +1,127 @@
+#include "banyanknot/coordination/query/class_admission.h"
+
+#include <algorithm>
+#include <cstddef>
+
+namespace banyanknot::coordination {
+namespace {
+
+using state::ServiceClass;
+
+constexpr state::Duration kServiceRetryAfter = state::Milliseconds(100);
+// A query this many times slower than an uncongested one counts as congested.
+constexpr double kCongestedSlowdown = 5;
+constexpr double kBestTimeDrift = 1.0002;  // by each query
+constexpr double kMinBestMs = 1;
+constexpr double kProtectedHeadroom = 1.25;
+
+// Share of the limit that the load may reach for a class to be admitted.
+constexpr double ShareOf(ServiceClass service_class) {
+  switch (service_class) {
+    case ServiceClass::kWhole:
+      return 1;
+    case ServiceClass::kLatencyFirst:
+      return 0.9;
+    case ServiceClass::kComparison:
+      return 0.75;
+  }
+  return 0.75;
+}
+
+constexpr state::Duration RetryAfterOf(ServiceClass service_class) {
+  switch (service_class) {
+    case ServiceClass::kWhole:
+      return state::Milliseconds(100);
+    case ServiceClass::kLatencyFirst:
+      return state::Milliseconds(250);
+    case ServiceClass::kComparison:
+      return state::Milliseconds(1'000);
+  }
+  return state::Milliseconds(1'000);
+}
+
+constexpr std::size_t IndexOf(ServiceClass service_class) {
+  return static_cast<std::size_t>(service_class);
+}
+
+}  // namespace
+
+ClassAdmission::ClassAdmission(const Clock& clock)
+    : clock(clock), host(clock.Now()) {}
+
+double ClassAdmission::HostLoad::Of(ServiceClass least) const {
+  double load = 0;
+  for (std::size_t index = 0; index <= IndexOf(least); ++index) {
+    load += this->in_flight[index];
+  }
+  return load;
+}
+
+AdmissionResult ClassAdmission::Admit(const state::ServiceEntry& service) {
+  if (!this->TakeServiceSlot(service)) {
+    return AdmissionRefusal{"the service has too many queries in flight",
+                            kServiceRetryAfter};
+  }
+  AdmissionTicket ticket{service.id, service.service_class,
+                         static_cast<std::uint32_t>(service.shards.size())};
+  if (this->TakeHostSlots(ticket)) return ticket;
+  this->ReturnServiceSlot(service.id);
+  return AdmissionRefusal{"overload: queries of this class are shed",
+                          RetryAfterOf(service.service_class)};
+}
+
+bool ClassAdmission::TakeServiceSlot(const state::ServiceEntry& service) {
+  const std::uint32_t limit = service.limits.max_in_flight;
+  return this->services.Update(service.id, [limit](ServiceLoad& load) {
+    if (load.in_flight >= limit) return false;
+    ++load.in_flight;
+    return true;
+  });
+}
+
+void ClassAdmission::ReturnServiceSlot(const state::ServiceId& service) {
+  this->services.Update(service, [](ServiceLoad& load) { --load.in_flight; });
+}
+
+bool ClassAdmission::TakeHostSlots(const AdmissionTicket& ticket) {
+  const std::lock_guard<std::mutex> lock(this->host.mutex);
+  const double load = this->host.Of(ticket.service_class);
+  const double allowed =
+      this->host.limit.Value() * ShareOf(ticket.service_class);
+  if (load > 0 && load + ticket.weight > allowed) return false;
+  this->host.in_flight[IndexOf(ticket.service_class)] += ticket.weight;
+  return true;
+}
+
+bool ClassAdmission::IsCongested(const AdmissionTicket& ticket,
+                                 const QueryEnding& ending) {
+  const bool is_answered = ending.outcome == state::Outcome::kOk;
+  const double elapsed_ms =
+      std::max(kMinBestMs, state::ToFractionalMilliseconds(ending.elapsed));
+  const bool is_slow = this->services.Update(
+      ticket.service, [is_answered, elapsed_ms](ServiceLoad& load) {
+        --load.in_flight;
+        if (!is_answered) return false;
+        const double drifted = load.best_ms * kBestTimeDrift;
+        load.best_ms = drifted > 0 ? std::min(drifted, elapsed_ms) : elapsed_ms;
+        return elapsed_ms > kCongestedSlowdown * load.best_ms;
+      });
+  return is_slow || ending.shed_replies > 0 ||
+         ending.outcome == state::Outcome::kDeadline;
+}
+
+void ClassAdmission::OnFinished(const AdmissionTicket& ticket,
+                                const QueryEnding& ending) {
+  const bool is_congested = this->IsCongested(ticket, ending);
+  const state::TimePoint now = this->clock.Now();
+  const std::lock_guard<std::mutex> lock(this->host.mutex);
+  const double total = this->host.Of(ServiceClass::kComparison);
+  const double highest = this->host.Of(ServiceClass::kWhole);
+  // While lower classes share the load, the congestion is theirs to relieve.
+  const double protected_load =
+      total > highest ? highest * kProtectedHeadroom : 0;
+  this->host.limit.Observe(now, is_congested, total, protected_load);
+  this->host.in_flight[IndexOf(ticket.service_class)] -= ticket.weight;
+}
+
+}  // namespace banyanknot::coordination
--- /dev/null
+++ b/src/coordination/query/load_aware_replica_selector.cc
@@ -0,0 +1,90 @@
+#include "banyanknot/coordination/query/load_aware_replica_selector.h"
+
+#include <algorithm>
+#include <cstddef>
+#include <utility>
+
+#include "coordination/query/replica_score.h"
+
+namespace banyanknot::coordination {
+namespace {
+
+// Costs within this factor are taken as equal: reports are too rough to tell.
+constexpr double kNoticeableFactor = 1.25;
+
+struct Ranked {
+  const state::ServerEntry* server = nullptr;
+  internal::ReplicaScore score;
+  double cost = 0;
+};
+
+bool IsClearlyBetter(const Ranked& left, const Ranked& right) {
+  if (left.score.tier != right.score.tier) {
+    return left.score.tier < right.score.tier;
+  }
+  return left.cost * kNoticeableFactor < right.cost;
+}
+
+bool IsBetter(const Ranked& left, const Ranked& right) {
+  if (left.score.tier != right.score.tier) {
+    return left.score.tier < right.score.tier;
+  }
+  return left.cost < right.cost;
+}
+
+Ranked ScoreServer(const state::ServerTable& servers,
+                   const state::ServerEntry& server, state::TimePoint now) {
+  Ranked ranked{&server, internal::ScoreOfUnknown(server), 0};
+  servers.ReadIfPresent(
+      server.id, [&ranked, &server, now](const state::ServerRecord& record) {
+        ranked.score = internal::ScoreOf(server, record, now);
+      });
+  return ranked;
+}
+
+void SetCosts(std::vector<Ranked>& ranked) {
+  double least_latency = 0;
+  for (const Ranked& item : ranked) {
+    const double latency = item.score.latency_ms;
+    if (latency > 0 && (least_latency == 0 || latency < least_latency)) {
+      least_latency = latency;
+    }
+  }
+  if (least_latency == 0) least_latency = 1;
+  for (Ranked& item : ranked) {
+    item.cost = internal::CostOf(item.score, least_latency);
+  }
+}
+
+}  // namespace
+
+LoadAwareReplicaSelector::LoadAwareReplicaSelector(
+    const Clock& clock, RandomSource& random, const state::ServerTable& servers)
+    : clock(clock), random(random), servers(servers) {}
+
+void LoadAwareReplicaSelector::Rank(
+    std::vector<const state::ServerEntry*>& candidates) {
+  if (candidates.size() < 2) return;
+  const state::TimePoint now = this->clock.Now();
+  std::vector<Ranked> ranked;
+  ranked.reserve(candidates.size());
+  for (const state::ServerEntry* server : candidates) {
+    ranked.push_back(ScoreServer(this->servers, *server, now));
+  }
+  SetCosts(ranked);
+  const std::size_t first = this->random.Below(ranked.size());
+  std::swap(ranked[0], ranked[first]);
+  const std::size_t second = 1 + this->random.Below(ranked.size() - 1);
+  std::swap(ranked[1], ranked[second]);
+  if (IsClearlyBetter(ranked[1], ranked[0])) std::swap(ranked[0], ranked[1]);
+  std::sort(ranked.begin() + 1, ranked.end(), IsBetter);
+  // Two random choices may both be bad: a better tier always goes first.
+  if (ranked[1].score.tier < ranked[0].score.tier) {
+    std::rotate(ranked.begin(), ranked.begin() + 1, ranked.end());
+  }
+  for (std::size_t index = 0; index < ranked.size(); ++index) {
+    candidates[index] = ranked[index].server;
+  }
+}
+
+}  // namespace banyanknot::coordination
--- /dev/null
+++ b/src/coordination/query/query_executor.cc
@@ -0,0 +1,201 @@
+#include "banyanknot/coordination/query/query_executor.h"
+
+#include <algorithm>
+#include <string>
+#include <utility>
+
+namespace banyanknot::coordination {
+namespace {
+
+bool IsShare(double value) { return value >= 0 && value <= 1; }
+
+state::Duration AllowedTime(const state::Query& query,
+                            const state::ServiceLimits& limits) {
+  const state::Duration asked =
+      query.deadline.count() == 0 ? limits.default_deadline : query.deadline;
+  return std::min(asked, limits.max_deadline);
+}
+
+}  // namespace
+
+QueryExecutor::QueryExecutor(std::uint64_t origin, const Clock& clock,
+                             TimerService& timers, BackendClient& backend,
+                             const state::CatalogueTable& catalogue,
+                             const QueryPolicies& policies,
+                             state::QueryCounters& counters)
+    : origin(origin),
+      clock(clock),
+      timers(timers),
+      backend(backend),
+      policies(policies),
+      counters(counters),
+      maps(catalogue) {}
+
+state::RequestId QueryExecutor::Run(const state::Query& query,
+                                    AnswerHandler handler) {
+  const state::RequestId id{this->origin, this->next_sequence.fetch_add(1)};
+  const std::optional<Refusal> refusal = this->Begin(id, query, handler);
+  if (!refusal) return id;
+  state::QueryTally tally;
+  ++tally.Of(refusal->outcome);
+  this->counters.Add(tally);
+  state::Answer answer;
+  answer.request = id;
+  answer.service = query.service;
+  answer.outcome = refusal->outcome;
+  answer.reason = refusal->reason;
+  answer.retry_after = refusal->retry_after;
+  handler(std::move(answer));
+  return id;
+}
+
+std::optional<QueryExecutor::Refusal> QueryExecutor::Begin(
+    const state::RequestId& id, const state::Query& query,
+    AnswerHandler& handler) {
+  if (!IsShare(query.coverage_floor)) {
+    return Refusal{state::Outcome::kInvalid,
+                   "coverage_floor is not between 0 and 1"};
+  }
+  const state::Result<ShardMap::Pointer, ShardMapFault> map =
+      this->maps.Find(query.service);
+  if (!state::IsOk(map)) {
+    const ShardMapFault fault = state::ErrorOf(map);
+    return Refusal{fault == ShardMapFault::kUnknownService
+                       ? state::Outcome::kInvalid
+                       : state::Outcome::kNotRun,
+                   std::string(NameOf(fault))};
+  }
+  const state::ServiceEntry& service = state::ValueOf(map)->Service();
+  const state::Duration allowed = AllowedTime(query, service.limits);
+  if (allowed.count() <= 0) {
+    return Refusal{state::Outcome::kNotRun, "deadline already past"};
+  }
+  const AdmissionResult admission = this->policies.admission.Admit(service);
+  if (!state::IsOk(admission)) {
+    const AdmissionRefusal& refusal = state::ErrorOf(admission);
+    return Refusal{state::Outcome::kNotRun, refusal.reason,
+                   refusal.retry_after};
+  }
+  Entry entry;
+  entry.run = std::make_shared<QueryRun>(
+      id, query, state::ValueOf(map),
+      MakeQueryTimes(this->clock.Now(), allowed), this->maps, this->policies);
+  entry.handler = std::move(handler);
+  entry.ticket = state::ValueOf(admission);
+  this->Start(id, std::move(entry));
+  return std::nullopt;
+}
+
+void QueryExecutor::Start(const state::RequestId& id, Entry entry) {
+  const state::TimePoint deadline = entry.run->Times().deadline;
+  this->entries.Insert(id, std::move(entry));
+  this->Post(id, {EventKind::kStart, 0, std::nullopt});
+  this->PostAt(deadline, id, EventKind::kStop);
+}
+
+void QueryExecutor::Cancel(const state::RequestId& id) {
+  this->Post(id, {EventKind::kStop, 0, std::nullopt});
+}
+
+std::size_t QueryExecutor::InFlight() const { return this->entries.Size(); }
+
+void QueryExecutor::PostAt(state::TimePoint when, const state::RequestId& id,
+                           EventKind kind) {
+  this->timers.RunAt(when, [this, id, kind] {
+    this->Post(id, {kind, 0, std::nullopt});
+  });
+}
+
+void QueryExecutor::Post(const state::RequestId& id, Event event) {
+  std::shared_ptr<QueryRun> run;
+  const bool is_late_result = event.kind == EventKind::kResult;
+  const bool is_known =
+      this->entries.UpdateIfPresent(id, [&run, &event](Entry& entry) {
+        entry.inbox.push_back(std::move(event));
+        if (entry.is_draining) return;
+        entry.is_draining = true;
+        run = entry.run;
+      });
+  if (!is_known && is_late_result) {
+    state::QueryTally tally;
+    ++tally.Of(state::ReplyVerdict::kLate);
+    this->counters.Add(tally);
+  }
+  if (run != nullptr) this->Drain(id, *run);
+}
+
+void QueryExecutor::Drain(const state::RequestId& id, QueryRun& run) {
+  for (std::vector<Event> events = this->TakeInbox(id); !events.empty();
+       events = this->TakeInbox(id)) {
+    for (Event& event : events) {
+      this->Perform(id, run, this->Handle(run, std::move(event)));
+    }
+    this->RemoveIfSettled(id, run);
+  }
+}
+
+std::vector<QueryExecutor::Event> QueryExecutor::TakeInbox(
+    const state::RequestId& id) {
+  std::vector<Event> events;
+  this->entries.UpdateIfPresent(id, [&events](Entry& entry) {
+    events.swap(entry.inbox);
+    if (events.empty()) entry.is_draining = false;
+  });
+  return events;
+}
+
+QueryEffects QueryExecutor::Handle(QueryRun& run, Event event) {
+  const state::TimePoint now = this->clock.Now();
+  switch (event.kind) {
+    case EventKind::kStart:
+      return run.Start(now);
+    case EventKind::kResult:
+      return run.OnResult(event.attempt, std::move(*event.result), now);
+    case EventKind::kWake:
+      return run.OnWake(now);
+    case EventKind::kStop:
+      return run.Stop(now);
+  }
+  return {};
+}
+
+void QueryExecutor::RemoveIfSettled(const state::RequestId& id,
+                                    const QueryRun& run) {
+  if (!run.IsSettled()) return;
+  if (this->entries.Take(id)) this->counters.Add(run.Tally());
+}
+
+void QueryExecutor::Perform(const state::RequestId& id, const QueryRun& run,
+                            QueryEffects effects) {
+  for (const state::SubRequest& request : effects.send) this->Send(id, request);
+  for (const state::SubRequest& request : effects.cancel) {
+    this->backend.Cancel(request);
+  }
+  if (effects.wake_at) this->PostAt(*effects.wake_at, id, EventKind::kWake);
+  if (effects.answer) this->Answer(id, run, std::move(*effects.answer));
+}
+
+void QueryExecutor::Answer(const state::RequestId& id, const QueryRun& run,
+                           state::Answer answer) {
+  AnswerHandler handler;
+  AdmissionTicket ticket;
+  this->entries.UpdateIfPresent(id, [&handler, &ticket](Entry& entry) {
+    handler = std::move(entry.handler);
+    entry.handler = nullptr;
+    ticket = entry.ticket;
+  });
+  this->policies.admission.OnFinished(
+      ticket, {answer.outcome, this->clock.Now() - run.Times().started,
+               run.ShedReplies()});
+  if (handler) handler(std::move(answer));
+}
+
+void QueryExecutor::Send(const state::RequestId& id,
+                         const state::SubRequest& request) {
+  const std::uint32_t attempt = request.attempt;
+  this->backend.Send(request, [this, id, attempt](BackendResult result) {
+    this->Post(id, {EventKind::kResult, attempt, std::move(result)});
+  });
+}
+
+}  // namespace banyanknot::coordination
--- /dev/null
+++ b/src/coordination/query/snapshot_ranges.h
@@ -0,0 +1,36 @@
+#ifndef BANYANKNOT_COORDINATION_QUERY_SNAPSHOT_RANGES_H_
+#define BANYANKNOT_COORDINATION_QUERY_SNAPSHOT_RANGES_H_
+
+#include <cstdint>
+#include <vector>
+
+namespace banyanknot::coordination::internal {
+
+/// \brief A closed range of snapshots that one replica holds.
+struct SnapshotRange {
+  std::uint64_t oldest = 0;
+  std::uint64_t newest = 0;
+
+  bool Holds(std::uint64_t snapshot) const {
+    return snapshot >= this->oldest && snapshot <= this->newest;
+  }
+};
+
+/// \brief What is known of the replicas of each shard.
+///
+/// A shard of which nothing is known is left out.
+using ShardSnapshots = std::vector<std::vector<SnapshotRange>>;
+
+/// \brief The newest snapshot that all replicas hold.
+/// \returns 0 if there is none outside `excluded`
+std::uint64_t NewestOfAllReplicas(const ShardSnapshots& shards,
+                                  const std::vector<std::uint64_t>& excluded);
+
+/// \brief The newest snapshot that at least one replica of each shard holds.
+/// \returns 0 if there is none outside `excluded`
+std::uint64_t NewestOfEachShard(const ShardSnapshots& shards,
+                                const std::vector<std::uint64_t>& excluded);
+
+}  // namespace banyanknot::coordination::internal
+
+#endif  // BANYANKNOT_COORDINATION_QUERY_SNAPSHOT_RANGES_H_
--- a/src/state/catalogue_table.cc
+++ b/src/state/catalogue_table.cc
@@ -27,30 +27,36 @@
   return this->records.Find(key);
 }
 
+std::shared_ptr<const CatalogueContent> CatalogueTable::FindContent(
+    const std::string& key) const {
+  std::shared_ptr<const CatalogueContent> content;
+  this->records.ReadIfPresent(key, [&content](const CatalogueRecord& record) {
+    content = record.content;
+  });
+  return content;
+}
+
 std::shared_ptr<const ServiceEntry> CatalogueTable::FindService(
     const ServiceId& id) const {
-  const std::optional<CatalogueRecord> record =
-      this->records.Find("service/" + id.Text());
-  if (!record || record->IsTombstone()) return nullptr;
-  const ServiceEntry* service =
-      std::get_if<ServiceEntry>(record->content.get());
+  const std::shared_ptr<const CatalogueContent> content =
+      this->FindContent("service/" + id.Text());
+  const ServiceEntry* service = std::get_if<ServiceEntry>(content.get());
   if (service == nullptr) return nullptr;
-  return {record->content, service};
+  return {content, service};
 }
 
 DomainState CatalogueTable::FindDomainState(const FailureDomainId& id) const {
-  const std::optional<CatalogueRecord> record =
-      this->records.Find("domain/" + id.Text());
-  if (!record || record->IsTombstone()) return DomainState::kIn;
+  const std::shared_ptr<const CatalogueContent> content =
+      this->FindContent("domain/" + id.Text());
   const FailureDomainEntry* domain =
-      std::get_if<FailureDomainEntry>(record->content.get());
+      std::get_if<FailureDomainEntry>(content.get());
   return domain == nullptr ? DomainState::kIn : domain->domain_state;
 }
 
 FleetPolicy CatalogueTable::FindFleetPolicy() const {
-  const std::optional<CatalogueRecord> record = this->records.Find("fleet");
-  if (!record || record->IsTombstone()) return FleetPolicy();
-  const FleetPolicy* policy = std::get_if<FleetPolicy>(record->content.get());
+  const std::shared_ptr<const CatalogueContent> content =
+      this->FindContent("fleet");
+  const FleetPolicy* policy = std::get_if<FleetPolicy>(content.get());
   return policy == nullptr ? FleetPolicy() : *policy;
 }
 
--- /dev/null
+++ b/src/state/query_counters.cc
@@ -0,0 +1,39 @@
+#include "banyanknot/state/query_counters.h"
+
+#include <functional>
+#include <thread>
+
+namespace banyanknot::state {
+
+QueryTally& QueryTally::operator+=(const QueryTally& other) {
+  for (std::size_t index = 0; index < this->verdicts.size(); ++index) {
+    this->verdicts[index] += other.verdicts[index];
+  }
+  for (std::size_t index = 0; index < this->outcomes.size(); ++index) {
+    this->outcomes[index] += other.outcomes[index];
+  }
+  this->first_attempts += other.first_attempts;
+  this->hedges += other.hedges;
+  this->retries += other.retries;
+  this->snapshot_changes += other.snapshot_changes;
+  return *this;
+}
+
+void QueryCounters::Add(const QueryTally& tally) {
+  const std::size_t hash =
+      std::hash<std::thread::id>()(std::this_thread::get_id());
+  Shard& shard = this->shards[hash % kShards];
+  const std::lock_guard<std::mutex> lock(shard.mutex);
+  shard.tally += tally;
+}
+
+QueryTally QueryCounters::Total() const {
+  QueryTally total;
+  for (const Shard& shard : this->shards) {
+    const std::lock_guard<std::mutex> lock(shard.mutex);
+    total += shard.tally;
+  }
+  return total;
+}
+
+}  // namespace banyanknot::state
