--- a/daemons/host_application.cc
+++ b/daemons/host_application.cc
@@ -10,6 +10,7 @@
 #include "banyanknot/Coordination"
 #include "banyanknot/Protocol"
 #include "banyanknot/Transport"
+#include "host_policies.h"
 #include "host_service.h"
 #include "server_parts.h"
 
@@ -65,11 +66,12 @@
         keeper(catalogue, codec, audit),
         follower(clock, timers, platform, keeper),
         backend(threads.Context(), clock, kConnectionsPerServer),
-        selector(random),
         server_parts(settings.policies, clock, timers, random, catalogue,
                      servers, hosts, identity, audit, board),
-        executor(origin, clock, timers, backend, catalogue, selector,
+        policies(settings.policies, clock, random, catalogue, servers,
                  server_parts.Gate()),
+        executor(origin, clock, timers, backend, catalogue,
+                 policies.ForQueries(), counters),
         operators(identity, clock, catalogue, hosts, servers, executor,
                   follower, audit, {&query_metrics}),
         service(clock, executor, query_metrics, operators),
@@ -94,9 +96,10 @@
   coordination::CatalogueKeeper keeper;
   coordination::PollingCatalogueFollower follower;
   transport::BackendHttpClient backend;
-  coordination::RandomReplicaSelector selector;
   LocalServerNoteBoard board;
   ServerParts server_parts;
+  state::QueryCounters counters;
+  HostPolicies policies;
   coordination::QueryExecutor executor;
   coordination::QueryMetrics query_metrics;
   OperatorService operators;
--- a/include/banyanknot/state/catalogue_table.h
+++ b/include/banyanknot/state/catalogue_table.h
@@ -57,6 +57,9 @@
   std::uint64_t ChangeCount() const { return this->change_count; }
 
  private:
+  std::shared_ptr<const CatalogueContent> FindContent(
+      const std::string& key) const;
+
   std::atomic<std::uint64_t> change_count{0};
   ShardedTable<std::string, CatalogueRecord> records;
 };
--- a/test/coordination/servers/fakes.h
+++ b/test/coordination/servers/fakes.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "banyanknot/Coordination"
+#include "coordination/support/recording_audit_sink.h"
 
 namespace banyanknot::coordination {
 
@@ -38,14 +39,6 @@
   std::vector<std::pair<state::TimePoint, std::function<void()>>> functions;
 };
 
-class RecordingAuditSink : public AuditSink {
- public:
-  void Append(const AuditEvent& event) override {
-    this->events.push_back(event);
-  }
-  std::vector<AuditEvent> events;
-};
-
 /// \brief Keeps what is published and passes nothing on.
 class RecordingNoteBoard : public ServerNoteBoard {
  public:
