--- /dev/null
+++ b/include/banyanknot/coordination/digest_source.h
@@ -0,0 +1,19 @@
+#ifndef BANYANKNOT_COORDINATION_DIGEST_SOURCE_H_
+#define BANYANKNOT_COORDINATION_DIGEST_SOURCE_H_
+
+#include "banyanknot/coordination/peer_message.h"
+
+namespace banyanknot::coordination {
+
+/// \brief Sums up the catalogue in force on this host.
+///
+/// Thread-safe and cheap: it is asked for each heartbeat.
+class DigestSource {
+ public:
+  virtual ~DigestSource() = default;
+  virtual CatalogueDigest Digest() const = 0;
+};
+
+}  // namespace banyanknot::coordination
+
+#endif  // BANYANKNOT_COORDINATION_DIGEST_SOURCE_H_
--- /dev/null
+++ b/include/banyanknot/coordination/fleet/gossip_server_note_board.h
@@ -0,0 +1,69 @@
+#ifndef BANYANKNOT_COORDINATION_FLEET_GOSSIP_SERVER_NOTE_BOARD_H_
+#define BANYANKNOT_COORDINATION_FLEET_GOSSIP_SERVER_NOTE_BOARD_H_
+
+#include <mutex>
+#include <string>
+#include <vector>
+
+#include "banyanknot/coordination/clock.h"
+#include "banyanknot/coordination/fleet/peer_selector.h"
+#include "banyanknot/coordination/fleet/rate_budget.h"
+#include "banyanknot/coordination/fleet/rumour_queue.h"
+#include "banyanknot/coordination/membership_view.h"
+#include "banyanknot/coordination/peer_link.h"
+#include "banyanknot/coordination/server_note_board.h"
+#include "banyanknot/coordination/server_note_source.h"
+#include "banyanknot/state/sharded_table.h"
+
+namespace banyanknot::coordination {
+
+/// \brief Spreads notes of backend servers from host to host.
+///
+/// Thread-safe. A note of a leaving server is passed on at once by each host
+/// that hears it first, and with heartbeats; others with heartbeats only. A
+/// note that says nothing new is dropped.
+class GossipServerNoteBoard : public ServerNoteBoard,
+                              public ServerNoteSource,
+                              public PeerHandler {
+ public:
+  GossipServerNoteBoard(const Clock& clock, const MembershipView& view,
+                        PeerSelector& selector, PeerLink& link,
+                        RateBudget& budget);
+
+  void Publish(const ServerNote& note) override;
+  void Subscribe(ServerNoteListener& listener) override;
+  std::vector<ServerNote> TakeNotes() override;
+  void OnPeerMessage(const PeerEnvelope& envelope) override;
+
+ private:
+  /// The latest phase of one instance of a server.
+  struct Seen {
+    state::ServerPhase phase = state::ServerPhase::kUnknown;
+    state::TimePoint entered_at;
+    bool is_set = false;
+  };
+  /// A note and when the phase began, so that its age can be told later.
+  struct DatedNote {
+    ServerNote note;
+    state::TimePoint entered_at;
+  };
+
+  bool TakeIn(const ServerNote& note);
+  void PassOn(const ServerNote& note, const state::HostId& from);
+  void Receive(const std::vector<ServerNote>& received,
+               const state::HostId& from);
+
+  const Clock& clock;
+  const MembershipView& view;
+  PeerSelector& selector;
+  PeerLink& link;
+  RateBudget& budget;
+  state::ShardedTable<std::string, Seen> seen;  // by server and instance
+  RumourQueue<std::string, DatedNote> queue;
+  std::mutex listeners_mutex;
+  std::vector<ServerNoteListener*> listeners;
+};
+
+}  // namespace banyanknot::coordination
+
+#endif  // BANYANKNOT_COORDINATION_FLEET_GOSSIP_SERVER_NOTE_BOARD_H_
--- /dev/null
+++ b/include/banyanknot/coordination/fleet/membership.h
@@ -0,0 +1,106 @@
+#ifndef BANYANKNOT_COORDINATION_FLEET_MEMBERSHIP_H_
+#define BANYANKNOT_COORDINATION_FLEET_MEMBERSHIP_H_
+
+#include <atomic>
+#include <cstdint>
+#include <vector>
+
+#include "banyanknot/coordination/clock.h"
+#include "banyanknot/coordination/digest_source.h"
+#include "banyanknot/coordination/fleet/contact_log.h"
+#include "banyanknot/coordination/fleet/host_registry.h"
+#include "banyanknot/coordination/fleet/peer_selector.h"
+#include "banyanknot/coordination/fleet/rate_budget.h"
+#include "banyanknot/coordination/membership_view.h"
+#include "banyanknot/coordination/peer_link.h"
+#include "banyanknot/coordination/random_source.h"
+#include "banyanknot/coordination/server_note_source.h"
+#include "banyanknot/coordination/timer_service.h"
+#include "banyanknot/coordination/view_refresher.h"
+
+namespace banyanknot::coordination {
+
+/// \brief Keeps up the table of hosts with heartbeats.
+///
+/// Thread-safe. A host pings one host of another failure domain and one of
+/// its own in each period, whatever the size of the fleet. One that does not
+/// answer is asked for through others before it is suspected, so that one cut
+/// link condemns nobody.
+class Membership : public PeerHandler, public ViewRefresher {
+ public:
+  /// \param seeds hosts to ask first, as the settings name them
+  Membership(const MembershipView& view, std::vector<state::Endpoint> seeds,
+             const Clock& clock, TimerService& timers, RandomSource& random,
+             PeerSelector& selector, PeerLink& link, HostRegistry& registry,
+             const DigestSource& digests, ServerNoteSource& notes,
+             ContactLog& contacts, RateBudget& budget);
+
+  /// \brief Pings the seeds and starts the periods.
+  void Start();
+
+  void OnPeerMessage(const PeerEnvelope& envelope) override;
+
+  /// \brief Pings a host of each failure domain at once.
+  void Refresh() override;
+
+  /// \brief Tells all reachable hosts that this one leaves.
+  ///
+  /// Sent in batches over `spread`, so that a large fleet brings no burst.
+  void SayGoodbye(state::Duration spread);
+
+ private:
+  /// A ping that waits for its pong.
+  struct OpenPing {
+    state::HostId target;
+    state::Endpoint endpoint;
+    state::TimePoint asked_at;
+    bool is_relayed = false;  ///< sent for another host
+    state::Endpoint origin;   ///< that host, and its own sequence number
+    std::uint64_t origin_sequence = 0;
+    bool is_answered = false;  ///< by others
+  };
+
+  void RunPeriod();
+  void PingMembers();
+  void PingLost();
+  void PingSeeds();
+  std::uint64_t SendPing(const state::Endpoint& peer, OpenPing ping);
+  void Probe(const state::HostRecord& host);
+  void AskOthers(std::uint64_t sequence);
+  void Conclude(std::uint64_t sequence);
+  void Send(const state::Endpoint& peer, const PeerMessage& message);
+  void SendAllRumours(const state::Endpoint& peer);
+
+  void Handle(const PeerEnvelope& envelope, const PeerPing& ping);
+  void Handle(const PeerEnvelope& envelope, const PeerPong& pong);
+  void Handle(const PeerEnvelope& envelope, const PeerProbe& probe);
+  void Handle(const PeerEnvelope& envelope, const PeerProbeResult& result);
+  void Handle(const PeerEnvelope& envelope, const PeerGoodbye& goodbye);
+  void Handle(const PeerEnvelope& envelope, const PeerNews& news);
+  template <typename Other>
+  void Handle(const PeerEnvelope& /*envelope*/, const Other& /*message*/) {}
+  void TakeRumours(const std::vector<HostRumour>& rumours,
+                   const state::HostId& from);
+
+  const MembershipView& view;
+  const std::vector<state::Endpoint> seeds;
+  const Clock& clock;
+  TimerService& timers;
+  RandomSource& random;
+  PeerSelector& selector;
+  PeerLink& link;
+  HostRegistry& registry;
+  const DigestSource& digests;
+  ServerNoteSource& notes;
+  ContactLog& contacts;
+  RateBudget& budget;
+  state::ShardedTable<std::uint64_t, OpenPing> open;  // by sequence
+  std::atomic<std::uint64_t> next_sequence{1};
+  std::atomic<std::uint64_t> period{0};
+  std::atomic<state::Duration::rep> refreshed_at{0};
+  std::atomic<bool> has_said_goodbye{false};
+};
+
+}  // namespace banyanknot::coordination
+
+#endif  // BANYANKNOT_COORDINATION_FLEET_MEMBERSHIP_H_
--- /dev/null
+++ b/include/banyanknot/coordination/fleet/pause_detector.h
@@ -0,0 +1,59 @@
+#ifndef BANYANKNOT_COORDINATION_FLEET_PAUSE_DETECTOR_H_
+#define BANYANKNOT_COORDINATION_FLEET_PAUSE_DETECTOR_H_
+
+#include <atomic>
+#include <string>
+#include <vector>
+
+#include "banyanknot/coordination/audit_sink.h"
+#include "banyanknot/coordination/clock.h"
+#include "banyanknot/coordination/fleet/contact_log.h"
+#include "banyanknot/coordination/membership_view.h"
+#include "banyanknot/coordination/timer_service.h"
+#include "banyanknot/coordination/view_guard.h"
+#include "banyanknot/coordination/view_refresher.h"
+
+namespace banyanknot::coordination {
+
+/// \brief Notices pauses of the process and loss of all contact.
+///
+/// Thread-safe. A gap on the clock makes the view suspect until the platform
+/// or enough peers have answered a question that was asked after it; past a
+/// bound without answers, new work goes to this host's own failure domain
+/// only. So it does when neither the platform nor any host of another failure
+/// domain has been heard for a while.
+class PauseDetector : public ViewGuard {
+ public:
+  /// \param refreshers asked, in order, while the view needs confirmation
+  PauseDetector(const Clock& clock, TimerService& timers,
+                const MembershipView& view, const ContactLog& contacts,
+                std::vector<ViewRefresher*> refreshers, AuditSink& audit);
+
+  /// \brief Starts the periodic check.
+  void Start();
+
+  /// \brief Also checks for a gap since the latest periodic check.
+  ViewTrust Trust() override;
+
+ private:
+  void Tick();
+  void NoteGap(state::TimePoint now);
+  void Refresh();
+  void MoveTo(ViewTrust next, const std::string& reason);
+  bool IsConfirmedSince(state::TimePoint since) const;
+  bool HasContactSince(state::TimePoint since) const;
+
+  const Clock& clock;
+  TimerService& timers;
+  const MembershipView& view;
+  const ContactLog& contacts;
+  const std::vector<ViewRefresher*> refreshers;
+  AuditSink& audit;
+  std::atomic<ViewTrust> trust{ViewTrust::kTrusted};
+  std::atomic<state::Duration::rep> ticked_at{0};
+  std::atomic<state::Duration::rep> suspect_since{0};
+};
+
+}  // namespace banyanknot::coordination
+
+#endif  // BANYANKNOT_COORDINATION_FLEET_PAUSE_DETECTOR_H_
--- /dev/null
+++ b/include/banyanknot/coordination/fleet/sparse_catalogue_follower.h
@@ -0,0 +1,76 @@
+#ifndef BANYANKNOT_COORDINATION_FLEET_SPARSE_CATALOGUE_FOLLOWER_H_
+#define BANYANKNOT_COORDINATION_FLEET_SPARSE_CATALOGUE_FOLLOWER_H_
+
+#include <atomic>
+#include <cstdint>
+#include <mutex>
+
+#include "banyanknot/coordination/catalogue_follower.h"
+#include "banyanknot/coordination/catalogue_intake.h"
+#include "banyanknot/coordination/clock.h"
+#include "banyanknot/coordination/configuration_source.h"
+#include "banyanknot/coordination/fleet/contact_log.h"
+#include "banyanknot/coordination/membership_view.h"
+#include "banyanknot/coordination/random_source.h"
+#include "banyanknot/coordination/timer_service.h"
+#include "banyanknot/coordination/view_refresher.h"
+#include "banyanknot/state/catalogue_table.h"
+
+namespace banyanknot::coordination {
+
+/// \brief Follows the platform from a few hosts of each failure domain.
+///
+/// Thread-safe. The hosts that rank first by rendezvous hashing keep a waiting
+/// watch; the others learn from their peers and read slowly, so that a host
+/// that hears nobody still follows. Failed calls are repeated with jittered
+/// delays, so that the end of an outage brings no burst.
+class SparseCatalogueFollower : public CatalogueFollower, public ViewRefresher {
+ public:
+  SparseCatalogueFollower(const Clock& clock, TimerService& timers,
+                          RandomSource& random, ConfigurationSource& source,
+                          CatalogueIntake& intake,
+                          const state::CatalogueTable& table,
+                          const MembershipView& view, ContactLog& contacts);
+
+  void Start() override;
+  bool HasRead() const override { return this->has_read; }
+
+  /// \brief Reads from the platform now, unless it did so very lately.
+  void Refresh() override;
+
+  /// \brief Tells whether this host ranks among those that keep a watch.
+  bool IsWatcher() const;
+
+ private:
+  void ScheduleTick();
+  void Tick();
+  bool TakeWatchTurn(state::TimePoint now);
+  bool TakeReadTurn(state::TimePoint now);
+  void StartWatch();
+  void StartRead();
+  void OnWatched(state::TimePoint asked_at, const RawUpdateResult& result);
+  bool Take(state::TimePoint asked_at, const RawUpdateResult& result);
+  void PlanWatch(state::TimePoint asked_at, bool is_ok, bool has_changes);
+  state::Duration Between(state::Duration low, state::Duration high);
+
+  const Clock& clock;
+  TimerService& timers;
+  RandomSource& random;
+  ConfigurationSource& source;
+  CatalogueIntake& intake;
+  const state::CatalogueTable& table;
+  const MembershipView& view;
+  ContactLog& contacts;
+  std::atomic<bool> has_read{false};
+  std::atomic<state::Duration::rep> refreshed_at{0};
+  std::mutex mutex;          // guards what follows
+  std::uint64_t cursor = 0;  // every change up to it was read
+  bool is_watching = false;
+  state::TimePoint watch_at;   // no watch starts before it
+  state::TimePoint read_at;    // when the next slow read is due
+  state::Duration backoff{0};  // delay after the latest failure; 0 if none
+};
+
+}  // namespace banyanknot::coordination
+
+#endif  // BANYANKNOT_COORDINATION_FLEET_SPARSE_CATALOGUE_FOLLOWER_H_
--- a/include/banyanknot/coordination/fleet/table_membership_view.h
+++ b/include/banyanknot/coordination/fleet/table_membership_view.h
@@ -1,6 +1,7 @@
 #ifndef BANYANKNOT_COORDINATION_FLEET_TABLE_MEMBERSHIP_VIEW_H_
 #define BANYANKNOT_COORDINATION_FLEET_TABLE_MEMBERSHIP_VIEW_H_
 
+#include <optional>
 #include <vector>
 
 #include "banyanknot/coordination/membership_view.h"
@@ -15,6 +16,10 @@
       : self(self), table(table) {}
 
   const state::HostIdentity& Self() const override { return this->self; }
+  std::optional<state::HostRecord> Find(
+      const state::HostId& id) const override {
+    return this->table.Find(id);
+  }
   std::vector<state::HostRecord> Hosts() const override;
   std::vector<state::HostRecord> ReachableHosts() const override;
   std::vector<state::HostId> ActiveHostsIn(
--- a/include/banyanknot/coordination/membership_view.h
+++ b/include/banyanknot/coordination/membership_view.h
@@ -1,6 +1,7 @@
 #ifndef BANYANKNOT_COORDINATION_MEMBERSHIP_VIEW_H_
 #define BANYANKNOT_COORDINATION_MEMBERSHIP_VIEW_H_
 
+#include <optional>
 #include <vector>
 
 #include "banyanknot/state/host_record.h"
@@ -17,6 +18,10 @@
 
   virtual const state::HostIdentity& Self() const = 0;
 
+  /// \brief What is known of another host.
+  virtual std::optional<state::HostRecord> Find(
+      const state::HostId& id) const = 0;
+
   /// \brief All other hosts that are known, in the order of their ids.
   virtual std::vector<state::HostRecord> Hosts() const = 0;
 
--- a/include/banyanknot/state/host_record.h
+++ b/include/banyanknot/state/host_record.h
@@ -32,8 +32,9 @@
   std::uint64_t incarnation = 0;  ///< greater for each start of the host
   std::uint32_t refutation = 0;   ///< raised by the host when it is suspected
   HostState host_state = HostState::kSuspect;
-  TimePoint changed_at;    ///< when host_state last changed
-  bool is_listed = false;  ///< stands in the platform's latest list
+  TimePoint changed_at;             ///< when host_state last changed
+  bool is_listed = false;           ///< stands in the platform's latest list
+  bool was_listed_leaving = false;  ///< that list called it leaving
 };
 
 /// \brief The hosts that this host knows of, itself not among them.
--- /dev/null
+++ b/src/coordination/fleet/host_registry.cc
@@ -0,0 +1,287 @@
+#include "banyanknot/coordination/fleet/host_registry.h"
+
+#include <algorithm>
+#include <cmath>
+#include <unordered_set>
+#include <utility>
+
+namespace banyanknot::coordination {
+namespace {
+
+constexpr std::size_t kRumoursPerMessage = 8;
+constexpr state::Duration kSuspicionUnit = state::Milliseconds(1'000);
+constexpr state::Duration kRetention = state::Milliseconds(600'000);
+
+/// Time that a suspect host has to refute, in a fleet of that size.
+state::Duration SuspicionTimeout(std::size_t host_count) {
+  const double units = std::log2(static_cast<double>(host_count) + 2.0);
+  return state::Milliseconds(static_cast<std::int64_t>(
+      units * static_cast<double>(state::ToMilliseconds(kSuspicionUnit))));
+}
+
+int SeverityOf(state::HostState host_state) {
+  return static_cast<int>(host_state);
+}
+
+/// Tells whether a rumour goes before what is held of the same incarnation.
+bool Outranks(const HostRumour& rumour, const state::HostRecord& held) {
+  if (held.host_state == state::HostState::kLeft) return false;
+  if (rumour.host_state == state::HostState::kLeft) return true;
+  if (rumour.refutation != held.refutation) {
+    return rumour.refutation > held.refutation;
+  }
+  return SeverityOf(rumour.host_state) > SeverityOf(held.host_state);
+}
+
+HostRumour RumourOf(const state::HostRecord& record) {
+  return {record.listed, record.incarnation, record.host_state,
+          record.refutation};
+}
+
+}  // namespace
+
+HostRegistry::HostRegistry(const state::HostIdentity& self, const Clock& clock,
+                           state::HostTable& table, AuditSink& audit)
+    : self(self), clock(clock), table(table), audit(audit) {}
+
+HostRumour HostRegistry::SelfRumour() const {
+  HostRumour rumour{this->self.self, this->self.incarnation,
+                    state::HostState::kAlive, this->refutation};
+  rumour.host.leaving = this->is_leaving;
+  return rumour;
+}
+
+void HostRegistry::ApplyList(const std::vector<state::ListedHost>& hosts) {
+  const state::TimePoint now = this->clock.Now();
+  std::unordered_set<state::HostId> listed;
+  for (const state::ListedHost& host : hosts) {
+    listed.insert(host.id);
+    if (host.id == this->self.self.id) continue;
+    this->table.Update(host.id, [&host, now](state::HostRecord& record) {
+      if (record.listed.id.IsEmpty()) {
+        record.listed = host;
+        record.changed_at = now;
+      }
+      const bool starts_leaving = host.leaving && !record.was_listed_leaving;
+      record.is_listed = true;
+      record.was_listed_leaving = host.leaving;
+      record.listed.leaving = record.listed.leaving || starts_leaving;
+      if (record.incarnation == 0) record.listed.peer = host.peer;
+    });
+  }
+  std::vector<state::HostId> unlisted;
+  this->table.ForEach([&listed, &unlisted](const state::HostId& id,
+                                           const state::HostRecord& record) {
+    if (record.is_listed && listed.count(id) == 0) unlisted.push_back(id);
+  });
+  for (const state::HostId& id : unlisted) {
+    this->table.UpdateIfPresent(
+        id, [](state::HostRecord& record) { record.is_listed = false; });
+  }
+}
+
+void HostRegistry::ApplyRumour(const HostRumour& rumour,
+                               const state::HostId& from) {
+  if (rumour.host.id == this->self.self.id) {
+    this->Refute(rumour);
+    return;
+  }
+  const state::TimePoint now = this->clock.Now();
+  const bool is_gone = rumour.host_state == state::HostState::kDead ||
+                       rumour.host_state == state::HostState::kLeft;
+  if (is_gone && !this->table.Find(rumour.host.id)) return;
+  std::optional<Change> change;
+  this->table.Update(rumour.host.id, [&](state::HostRecord& record) {
+    const bool is_new = record.listed.id.IsEmpty();
+    const bool is_later = rumour.incarnation > record.incarnation;
+    const bool is_same = rumour.incarnation == record.incarnation;
+    if (!is_new && !is_later && !(is_same && Outranks(rumour, record))) return;
+    const state::HostState before = record.host_state;
+    const bool was_leaving = is_same && record.listed.leaving;
+    record.listed = rumour.host;
+    record.listed.leaving = record.listed.leaving || was_leaving;
+    record.incarnation = rumour.incarnation;
+    record.refutation = rumour.refutation;
+    record.host_state = rumour.host_state;
+    record.changed_at = now;
+    change = Change{record, before, is_new || is_later};
+  });
+  if (change) this->Publish(*change, from.Text(), "heard from a peer");
+}
+
+void HostRegistry::Refute(const HostRumour& rumour) {
+  if (rumour.incarnation != this->self.incarnation) return;
+  if (rumour.host_state != state::HostState::kSuspect &&
+      rumour.host_state != state::HostState::kDead) {
+    return;
+  }
+  std::uint32_t own = this->refutation.load();
+  while (own <= rumour.refutation &&
+         !this->refutation.compare_exchange_weak(own, rumour.refutation + 1)) {
+  }
+  this->queue.Add(this->self.self.id, this->SelfRumour());
+}
+
+bool HostRegistry::ApplyContact(
+    const state::HostId& id, std::uint64_t incarnation,
+    const std::optional<state::ListedHost>& sender) {
+  if (id == this->self.self.id || (!sender && !this->table.Find(id))) {
+    return false;
+  }
+  if (sender) this->MarkReplaced(*sender);
+  const state::TimePoint now = this->clock.Now();
+  std::optional<Change> change;
+  this->table.Update(id, [&](state::HostRecord& record) {
+    const bool is_new =
+        record.listed.id.IsEmpty() || incarnation > record.incarnation;
+    if (!is_new && incarnation < record.incarnation) return;
+    const state::HostState before = record.host_state;
+    if (!is_new && before == state::HostState::kLeft) return;
+    const bool starts_leaving =
+        sender && sender->leaving && !record.listed.leaving;
+    const bool was_leaving = !is_new && record.listed.leaving;
+    if (sender) record.listed = *sender;
+    record.listed.leaving = record.listed.leaving || was_leaving;
+    if (is_new) record.refutation = 0;
+    record.incarnation = incarnation;
+    record.host_state = state::HostState::kAlive;
+    if (!is_new && before == state::HostState::kAlive && !starts_leaving) {
+      return;
+    }
+    record.changed_at = now;
+    change = Change{record, before, is_new};
+  });
+  if (change) this->Publish(*change, id.Text(), "answered itself");
+  return change && change->is_new;
+}
+
+void HostRegistry::MarkReplaced(const state::ListedHost& sender) {
+  std::vector<state::HostId> replaced;
+  this->table.ForEach([&replaced, &sender](const state::HostId& id,
+                                           const state::HostRecord& record) {
+    if (id != sender.id && record.listed.peer == sender.peer &&
+        record.host_state != state::HostState::kDead &&
+        record.host_state != state::HostState::kLeft) {
+      replaced.push_back(id);
+    }
+  });
+  const state::TimePoint now = this->clock.Now();
+  for (const state::HostId& id : replaced) {
+    std::optional<Change> change;
+    this->table.UpdateIfPresent(id, [&change, now](state::HostRecord& record) {
+      const state::HostState before = record.host_state;
+      record.host_state = state::HostState::kDead;
+      record.changed_at = now;
+      change = Change{record, before, false};
+    });
+    if (change) {
+      this->Publish(*change, sender.id.Text(), "its address has another host");
+    }
+  }
+}
+
+void HostRegistry::ApplyGoodbye(const state::HostId& id,
+                                std::uint64_t incarnation) {
+  const state::TimePoint now = this->clock.Now();
+  std::optional<Change> change;
+  this->table.UpdateIfPresent(id, [&](state::HostRecord& record) {
+    if (incarnation < record.incarnation ||
+        (incarnation == record.incarnation &&
+         record.host_state == state::HostState::kLeft)) {
+      return;
+    }
+    const state::HostState before = record.host_state;
+    record.incarnation = incarnation;
+    record.host_state = state::HostState::kLeft;
+    record.listed.leaving = true;
+    record.changed_at = now;
+    change = Change{record, before, false};
+  });
+  if (change) this->Publish(*change, id.Text(), "said goodbye");
+}
+
+void HostRegistry::Suspect(const state::HostId& id) {
+  const state::TimePoint now = this->clock.Now();
+  std::optional<Change> change;
+  this->table.UpdateIfPresent(id, [&change, now](state::HostRecord& record) {
+    const state::HostState before = record.host_state;
+    const bool was_never_heard =
+        record.incarnation == 0 && before == state::HostState::kSuspect;
+    if (before != state::HostState::kAlive && !was_never_heard) return;
+    record.host_state =
+        was_never_heard ? state::HostState::kDead : state::HostState::kSuspect;
+    record.changed_at = now;
+    change = Change{record, before, false};
+  });
+  if (change) this->Publish(*change, "local", "did not answer");
+}
+
+void HostRegistry::Expire() {
+  const state::TimePoint now = this->clock.Now();
+  const state::Duration timeout = SuspicionTimeout(this->table.Size());
+  std::vector<state::HostId> overdue;
+  this->table.ForEach(
+      [&](const state::HostId& id, const state::HostRecord& record) {
+        if (record.host_state == state::HostState::kSuspect &&
+            record.incarnation != 0 && now - record.changed_at >= timeout) {
+          overdue.push_back(id);
+        }
+      });
+  for (const state::HostId& id : overdue) {
+    std::optional<Change> change;
+    this->table.UpdateIfPresent(id, [&](state::HostRecord& record) {
+      if (record.host_state != state::HostState::kSuspect) return;
+      record.host_state = state::HostState::kDead;
+      record.changed_at = now;
+      change = Change{record, state::HostState::kSuspect, false};
+    });
+    if (change) this->Publish(*change, "local", "stayed silent");
+  }
+  this->table.RemoveIf(
+      [now](const state::HostId& /*id*/, const state::HostRecord& record) {
+        const bool is_gone = record.host_state == state::HostState::kDead ||
+                             record.host_state == state::HostState::kLeft;
+        return is_gone && !record.is_listed &&
+               now - record.changed_at >= kRetention;
+      });
+}
+
+void HostRegistry::Publish(const Change& change, const std::string& source,
+                           const std::string& detail) {
+  if (change.record.incarnation != 0) {
+    this->queue.Add(change.record.listed.id, RumourOf(change.record));
+  }
+  if (change.record.host_state == change.before && !change.is_new) return;
+  this->audit.Append({AuditKind::kHostState, change.record.listed.id.Text(),
+                      change.record.incarnation, "", 0, source,
+                      std::string(NameOf(change.before)) + " to " +
+                          std::string(NameOf(change.record.host_state)) + ": " +
+                          detail});
+}
+
+std::vector<HostRumour> HostRegistry::TakeRumours(
+    const state::HostId& receiver) {
+  const std::size_t limit = TransmissionLimit(this->table.Size());
+  std::vector<HostRumour> rumours = this->queue.Take(kRumoursPerMessage, limit);
+  const std::optional<state::HostRecord> held = this->table.Find(receiver);
+  if (held &&
+      (held->host_state == state::HostState::kSuspect ||
+       held->host_state == state::HostState::kDead) &&
+      held->incarnation != 0) {
+    rumours.push_back(RumourOf(*held));
+  }
+  return rumours;
+}
+
+std::vector<HostRumour> HostRegistry::AllRumours() const {
+  std::vector<HostRumour> rumours;
+  this->table.ForEach(
+      [&rumours](const state::HostId& /*id*/, const state::HostRecord& record) {
+        if (record.host_state == state::HostState::kAlive) {
+          rumours.push_back(RumourOf(record));
+        }
+      });
+  return rumours;
+}
+
+}  // namespace banyanknot::coordination
--- /dev/null
+++ b/src/coordination/fleet/pause_detector.cc
@@ -0,0 +1,130 @@
+#include "banyanknot/coordination/fleet/pause_detector.h"
+
+#include <algorithm>
+#include <cstddef>
+#include <utility>
+
+namespace banyanknot::coordination {
+namespace {
+
+constexpr state::Duration kTickInterval = state::Milliseconds(100);
+constexpr state::Duration kPauseGap = state::Milliseconds(1'000);
+constexpr state::Duration kRefreshBound = state::Milliseconds(1'000);
+constexpr state::Duration kQuietBound = state::Milliseconds(1'250);
+constexpr state::Duration kContactBound = state::Milliseconds(2'500);
+constexpr std::size_t kConfirmingPeers = 2;
+
+state::TimePoint ToTimePoint(state::Duration::rep since_epoch) {
+  return state::TimePoint(state::Duration(since_epoch));
+}
+
+}  // namespace
+
+PauseDetector::PauseDetector(const Clock& clock, TimerService& timers,
+                             const MembershipView& view,
+                             const ContactLog& contacts,
+                             std::vector<ViewRefresher*> refreshers,
+                             AuditSink& audit)
+    : clock(clock),
+      timers(timers),
+      view(view),
+      contacts(contacts),
+      refreshers(std::move(refreshers)),
+      audit(audit) {}
+
+void PauseDetector::Start() {
+  const state::TimePoint now = this->clock.Now();
+  this->suspect_since = now.time_since_epoch().count();
+  this->ticked_at = now.time_since_epoch().count();
+  this->timers.RunAt(now + kTickInterval, [this] { this->Tick(); });
+}
+
+ViewTrust PauseDetector::Trust() {
+  const state::Duration::rep last = this->ticked_at.load();
+  const state::TimePoint now = this->clock.Now();
+  if (last != 0 && now - ToTimePoint(last) > kPauseGap) this->NoteGap(now);
+  return this->trust;
+}
+
+void PauseDetector::NoteGap(state::TimePoint now) {
+  state::Duration::rep last = this->ticked_at.load();
+  if (now - ToTimePoint(last) <= kPauseGap) return;
+  const state::Duration gap = now - ToTimePoint(last);
+  if (!this->ticked_at.compare_exchange_strong(
+          last, now.time_since_epoch().count())) {
+    return;
+  }
+  this->suspect_since = now.time_since_epoch().count();
+  this->MoveTo(ViewTrust::kSuspect,
+               "the process stood still for " +
+                   std::to_string(state::ToMilliseconds(gap)) + " ms");
+  this->Refresh();
+}
+
+void PauseDetector::Tick() {
+  const state::TimePoint now = this->clock.Now();
+  this->NoteGap(now);
+  this->ticked_at = now.time_since_epoch().count();
+  const state::TimePoint since = ToTimePoint(this->suspect_since);
+  switch (this->trust.load()) {
+    case ViewTrust::kTrusted:
+      if (now - since > kContactBound &&
+          !this->HasContactSince(now - kContactBound)) {
+        this->suspect_since = now.time_since_epoch().count();
+        this->MoveTo(ViewTrust::kOwnDomainOnly,
+                     "neither the platform nor another failure domain answers");
+      }
+      break;
+    case ViewTrust::kSuspect:
+      if (this->IsConfirmedSince(since)) {
+        this->MoveTo(ViewTrust::kTrusted, "the view was refreshed");
+      } else if (now - since > kRefreshBound) {
+        this->MoveTo(ViewTrust::kOwnDomainOnly,
+                     "the view could not be refreshed in time");
+      }
+      break;
+    case ViewTrust::kOwnDomainOnly:
+      if (this->IsConfirmedSince(since)) {
+        this->MoveTo(ViewTrust::kTrusted, "contact is back");
+      }
+      break;
+  }
+  const bool is_quiet = !this->HasContactSince(now - kQuietBound);
+  if (is_quiet || this->trust != ViewTrust::kTrusted) this->Refresh();
+  this->timers.RunAt(now + kTickInterval, [this] { this->Tick(); });
+}
+
+void PauseDetector::Refresh() {
+  for (ViewRefresher* refresher : this->refreshers) refresher->Refresh();
+}
+
+bool PauseDetector::IsConfirmedSince(state::TimePoint since) const {
+  if (this->contacts.LastPlatform() >= since) return true;
+  const std::size_t known = this->view.ReachableHosts().size();
+  const std::size_t needed = std::min(kConfirmingPeers, known);
+  const bool has_peers = this->contacts.PeersSince(since) >= needed;
+  return has_peers && this->HasContactSince(since);
+}
+
+bool PauseDetector::HasContactSince(state::TimePoint since) const {
+  if (this->contacts.LastPlatform() >= since) return true;
+  const state::FailureDomainId& own = this->view.Self().self.domain;
+  if (this->contacts.PeersOutside(own, since) > 0) return true;
+  for (const state::HostRecord& host : this->view.Hosts()) {
+    const bool may_be_cut_off =
+        host.listed.domain != own && host.host_state != state::HostState::kLeft;
+    if (may_be_cut_off) return false;
+  }
+  return true;
+}
+
+void PauseDetector::MoveTo(ViewTrust next, const std::string& reason) {
+  const ViewTrust before = this->trust.exchange(next);
+  if (before == next) return;
+  this->audit.Append({AuditKind::kHostLifecycle,
+                      this->view.Self().self.id.Text(), 0, "", 0, "local",
+                      "view " + std::string(NameOf(before)) + " to " +
+                          std::string(NameOf(next)) + ": " + reason});
+}
+
+}  // namespace banyanknot::coordination
--- /dev/null
+++ b/src/coordination/fleet/sparse_catalogue_follower.cc
@@ -0,0 +1,176 @@
+#include "banyanknot/coordination/fleet/sparse_catalogue_follower.h"
+
+#include <algorithm>
+#include <cstddef>
+#include <string>
+#include <vector>
+
+#include "banyanknot/coordination/fleet/rendezvous.h"
+
+namespace banyanknot::coordination {
+namespace {
+
+constexpr std::size_t kWatchersPerDomain = 2;
+constexpr state::Duration kStartSpread = state::Milliseconds(1'000);
+constexpr state::Duration kTickInterval = state::Milliseconds(500);
+constexpr state::Duration kWatchWait = state::Milliseconds(20'000);
+constexpr state::Duration kIdlePause = state::Milliseconds(1'000);
+constexpr state::Duration kSlowReadLow = state::Milliseconds(60'000);
+constexpr state::Duration kSlowReadHigh = state::Milliseconds(120'000);
+constexpr state::Duration kBackoffLow = state::Milliseconds(200);
+constexpr state::Duration kBackoffHigh = state::Milliseconds(8'000);
+constexpr state::Duration kRefreshInterval = state::Milliseconds(1'000);
+constexpr int kBackoffGrowth = 3;
+constexpr char kPlatform[] = "platform";
+constexpr char kWatchSubject[] = "catalogue-watch";
+
+}  // namespace
+
+SparseCatalogueFollower::SparseCatalogueFollower(
+    const Clock& clock, TimerService& timers, RandomSource& random,
+    ConfigurationSource& source, CatalogueIntake& intake,
+    const state::CatalogueTable& table, const MembershipView& view,
+    ContactLog& contacts)
+    : clock(clock),
+      timers(timers),
+      random(random),
+      source(source),
+      intake(intake),
+      table(table),
+      view(view),
+      contacts(contacts) {}
+
+state::Duration SparseCatalogueFollower::Between(state::Duration low,
+                                                 state::Duration high) {
+  const std::uint64_t span =
+      static_cast<std::uint64_t>(state::ToMilliseconds(high - low));
+  return low + state::Milliseconds(
+                   static_cast<std::int64_t>(this->random.Below(span + 1)));
+}
+
+void SparseCatalogueFollower::Start() {
+  const state::TimePoint first =
+      this->clock.Now() + this->Between(state::Duration(0), kStartSpread);
+  this->timers.RunAt(first, [this] {
+    {
+      const std::lock_guard<std::mutex> lock(this->mutex);
+      const bool is_supplied = this->table.MaxRevision() > 0;
+      this->read_at = this->clock.Now() +
+                      (is_supplied ? this->Between(kSlowReadLow, kSlowReadHigh)
+                                   : state::Duration(0));
+    }
+    this->Tick();
+  });
+}
+
+bool SparseCatalogueFollower::IsWatcher() const {
+  const state::ListedHost& self = this->view.Self().self;
+  const std::vector<state::HostId> hosts =
+      this->view.ActiveHostsIn(self.domain);
+  return RendezvousRank(kWatchSubject, self.id, hosts) < kWatchersPerDomain;
+}
+
+void SparseCatalogueFollower::ScheduleTick() {
+  this->timers.RunAt(
+      this->clock.Now() + this->Between(kTickInterval / 2, kTickInterval),
+      [this] { this->Tick(); });
+}
+
+void SparseCatalogueFollower::Tick() {
+  const state::TimePoint now = this->clock.Now();
+  if (this->IsWatcher()) {
+    if (this->TakeWatchTurn(now)) this->StartWatch();
+  } else if (this->TakeReadTurn(now)) {
+    this->StartRead();
+  }
+  this->ScheduleTick();
+}
+
+bool SparseCatalogueFollower::TakeWatchTurn(state::TimePoint now) {
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  if (this->is_watching || now < this->watch_at) return false;
+  this->is_watching = true;
+  return true;
+}
+
+bool SparseCatalogueFollower::TakeReadTurn(state::TimePoint now) {
+  const state::Duration interval = this->Between(kSlowReadLow, kSlowReadHigh);
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  if (this->is_watching || now < this->read_at) return false;
+  this->read_at = now + interval;
+  return true;
+}
+
+void SparseCatalogueFollower::StartWatch() {
+  std::uint64_t since = 0;
+  {
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    since = this->cursor;
+  }
+  const state::TimePoint asked_at = this->clock.Now();
+  this->source.Watch(since, this->has_read ? kWatchWait : state::Duration(0),
+                     [this, asked_at](const RawUpdateResult& result) {
+                       this->OnWatched(asked_at, result);
+                     });
+}
+
+void SparseCatalogueFollower::OnWatched(state::TimePoint asked_at,
+                                        const RawUpdateResult& result) {
+  const bool has_changes = this->Take(asked_at, result);
+  if (state::IsOk(result)) {
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    this->cursor = std::max(this->cursor, state::ValueOf(result).revision);
+  }
+  this->PlanWatch(asked_at, state::IsOk(result), has_changes);
+  if (has_changes && this->IsWatcher() &&
+      this->TakeWatchTurn(this->clock.Now())) {
+    this->StartWatch();
+  }
+}
+
+void SparseCatalogueFollower::PlanWatch(state::TimePoint asked_at, bool is_ok,
+                                        bool has_changes) {
+  const state::TimePoint now = this->clock.Now();
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  this->is_watching = false;
+  if (!is_ok) {
+    const state::Duration high = std::min(
+        kBackoffHigh, std::max(kBackoffLow, this->backoff) * kBackoffGrowth);
+    this->backoff = this->Between(kBackoffLow, high);
+    this->watch_at = now + this->backoff;
+    return;
+  }
+  this->backoff = state::Duration(0);
+  this->watch_at = has_changes ? now : asked_at + kIdlePause;
+}
+
+void SparseCatalogueFollower::StartRead() {
+  const state::TimePoint asked_at = this->clock.Now();
+  this->source.Read(this->table.MaxRevision(),
+                    [this, asked_at](const RawUpdateResult& result) {
+                      this->Take(asked_at, result);
+                    });
+}
+
+bool SparseCatalogueFollower::Take(state::TimePoint asked_at,
+                                   const RawUpdateResult& result) {
+  if (!state::IsOk(result)) return false;
+  const RawUpdate& update = state::ValueOf(result);
+  const bool has_changes =
+      !this->intake.Apply(update.entries, kPlatform).empty();
+  this->has_read = true;
+  if (update.revision >= this->table.MaxRevision()) {
+    this->contacts.RecordPlatform(asked_at);
+  }
+  return has_changes;
+}
+
+void SparseCatalogueFollower::Refresh() {
+  const state::Duration::rep now = this->clock.Now().time_since_epoch().count();
+  state::Duration::rep last = this->refreshed_at.load();
+  if (last != 0 && now - last < kRefreshInterval.count()) return;
+  if (!this->refreshed_at.compare_exchange_strong(last, now)) return;
+  this->StartRead();
+}
+
+}  // namespace banyanknot::coordination
--- /dev/null
+++ b/test/coordination/fleet/catalogue_spread_test.cc
@@ -0,0 +1,176 @@
+#include "banyanknot/coordination/fleet/catalogue_spread.h"
+
+#include <catch2/catch.hpp>
+#include <map>
+#include <string>
+
+#include "coordination/support/fleet_host.h"
+
+namespace banyanknot::coordination {
+namespace {
+
+constexpr state::Duration kSettle = state::Milliseconds(10'000);
+constexpr state::Duration kSpreadBound = state::Milliseconds(2'000);
+constexpr state::Duration kCutSpreadBound = state::Milliseconds(6'000);
+
+enum class Fault { kNone, kLoss, kPlatformCut, kLossAndPlatformCut };
+
+struct SpreadCase {
+  const char* name;
+  std::size_t hosts;
+  std::size_t domains;
+  Fault fault;
+  state::Duration bound;
+};
+
+void Inject(FleetFixture& fleet, Fault fault) {
+  const bool has_loss =
+      fault == Fault::kLoss || fault == Fault::kLossAndPlatformCut;
+  if (has_loss) fleet.network.loss_permille = 100;
+  const bool has_cut =
+      fault == Fault::kPlatformCut || fault == Fault::kLossAndPlatformCut;
+  if (has_cut) fleet.CutFromPlatform(1);
+}
+
+TEST_CASE("A hundred changes reach all hosts in time and none reverts") {
+  const std::vector<SpreadCase> cases{
+      {"9 hosts in 3", 9, 3, Fault::kNone, kSpreadBound},
+      {"9 hosts in 4", 9, 4, Fault::kNone, kSpreadBound},
+      {"loss", 9, 3, Fault::kLoss, kCutSpreadBound},
+      {"cut from platform", 9, 3, Fault::kPlatformCut, kCutSpreadBound},
+      {"both", 9, 4, Fault::kLossAndPlatformCut, kCutSpreadBound},
+      {"36 hosts, cut", 36, 4, Fault::kPlatformCut, kCutSpreadBound},
+  };
+  for (const SpreadCase& item : cases) {
+    INFO(item.name);
+    FleetFixture fleet(item.hosts, item.domains, 11);
+    fleet.platform.Put("domain/d0", "first");
+    fleet.Start();
+    fleet.Run(kSettle);
+    Inject(fleet, item.fault);
+    std::map<const FleetHost*, std::uint64_t> seen;
+    state::Duration slowest{0};
+    for (int change = 0; change < 100; ++change) {
+      const std::string text = "in " + std::to_string(change);
+      fleet.platform.Put("domain/d0", text);
+      const state::Duration taken =
+          fleet.RunUntilAll(item.bound, [&seen, &text](const FleetHost& host) {
+            const std::uint64_t revision = host.RevisionOf("domain/d0");
+            REQUIRE(revision >= seen[&host]);
+            seen[&host] = revision;
+            return host.TextOf("domain/d0") == text;
+          });
+      slowest = std::max(slowest, taken);
+      fleet.Run(state::Milliseconds(50));
+    }
+    INFO("slowest change: " << state::ToMilliseconds(slowest) << " ms");
+    CHECK(slowest <= item.bound);
+  }
+}
+
+TEST_CASE("A deletion spreads and an older copy does not bring it back") {
+  FleetFixture fleet(6, 3, 5);
+  fleet.platform.Put("domain/d0", "out");
+  fleet.Start();
+  fleet.Run(kSettle);
+  fleet.platform.Delete("domain/d0");
+  CHECK(fleet.RunUntilAll(kSpreadBound, [](const FleetHost& host) {
+    return host.RevisionOf("domain/d0") == 2 &&
+           host.TextOf("domain/d0").empty();
+  }) <= kSpreadBound);
+  for (const std::unique_ptr<FleetHost>& host : fleet.hosts) {
+    host->spread.Apply({{"domain/d0", 1, false, "out"}}, "platform");
+    CHECK(host->TextOf("domain/d0").empty());
+  }
+}
+
+TEST_CASE("A fresh host learns from its peers while the platform is stale") {
+  FleetFixture fleet(6, 3, 7);
+  fleet.platform.Put("domain/d0", "in");
+  fleet.Start();
+  fleet.Run(kSettle);
+  fleet.platform.Freeze();
+  fleet.platform.Put("domain/d0", "out");
+  fleet.hosts[0]->spread.Apply({{"domain/d0", 2, false, "out"}}, "platform");
+  fleet.Run(state::Milliseconds(3'000));
+  FleetHost& fresh = fleet.Add(9, 1, 1);
+  fresh.Start();
+  CHECK(fleet.RunUntilAll(kCutSpreadBound, [](const FleetHost& host) {
+    return host.TextOf("domain/d0") == "out";
+  }) <= kCutSpreadBound);
+  fleet.Run(state::Milliseconds(60'000));
+  CHECK(fresh.TextOf("domain/d0") == "out");
+}
+
+TEST_CASE("A host cut off from its peers follows the platform") {
+  FleetFixture fleet(9, 3, 8);
+  fleet.platform.Put("domain/d0", "in");
+  fleet.Start();
+  fleet.Run(kSettle);
+  fleet.CutFromPeers(2);
+  fleet.Run(kSettle);
+  fleet.platform.Put("domain/d0", "out");
+  CHECK(fleet.RunUntilAll(kSpreadBound, [](const FleetHost& host) {
+    return host.TextOf("domain/d0") == "out";
+  }) <= kSpreadBound);
+}
+
+TEST_CASE("A bad entry stays out everywhere and others go on") {
+  FleetFixture fleet(6, 3, 9);
+  fleet.platform.Put("domain/d0", "in");
+  fleet.Start();
+  fleet.Run(kSettle);
+  fleet.platform.Put("domain/d0", "bad");
+  fleet.platform.Put("domain/d1", "out");
+  CHECK(fleet.RunUntilAll(kSpreadBound, [](const FleetHost& host) {
+    return host.TextOf("domain/d1") == "out";
+  }) <= kSpreadBound);
+  fleet.Run(state::Milliseconds(180'000));
+  for (const std::unique_ptr<FleetHost>& host : fleet.hosts) {
+    CHECK(host->TextOf("domain/d0") == "in");
+    CHECK(host->audit.Count(AuditKind::kEntryRefused) <= 1);
+  }
+}
+
+TEST_CASE("Two contents under one revision end alike on all hosts") {
+  FleetFixture fleet(9, 3, 10);
+  fleet.platform.Put("domain/d0", "in");
+  fleet.Start();
+  fleet.Run(kSettle);
+  fleet.hosts[0]->spread.Apply({{"domain/d0", 2, false, "first"}}, "platform");
+  fleet.hosts[4]->spread.Apply({{"domain/d0", 2, false, "second"}}, "platform");
+  fleet.Run(kSettle);
+  const std::string text = fleet.hosts[0]->TextOf("domain/d0");
+  for (const std::unique_ptr<FleetHost>& host : fleet.hosts) {
+    CHECK(host->TextOf("domain/d0") == text);
+  }
+}
+
+TEST_CASE("A large entry with a small edit costs little to spread") {
+  FleetFixture fleet(9, 3, 12);
+  std::string text;
+  for (int index = 0; index < 60'000; ++index) {
+    text += "item " + std::to_string(index) + ";";
+  }
+  fleet.platform.Put("domain/d0", text);
+  fleet.Start();
+  fleet.Run(kSettle);
+  std::uint64_t before = 0;
+  for (const std::unique_ptr<FleetHost>& host : fleet.hosts) {
+    REQUIRE(host->TextOf("domain/d0").size() == text.size());
+    before += host->budget.Total();
+  }
+  text.replace(text.find("item 30000;"), 11, "item changed;");
+  fleet.platform.Put("domain/d0", "in" + text);
+  CHECK(fleet.RunUntilAll(kSpreadBound, [&text](const FleetHost& host) {
+    return host.TextOf("domain/d0") == "in" + text;
+  }) <= kSpreadBound);
+  std::uint64_t after = 0;
+  for (const std::unique_ptr<FleetHost>& host : fleet.hosts) {
+    after += host->budget.Total();
+  }
+  CHECK(after - before < 9 * 8'192);
+}
+
+}  // namespace
+}  // namespace banyanknot::coordination
--- /dev/null
+++ b/test/coordination/support/fake_network.h
@@ -0,0 +1,107 @@
+#ifndef BANYANKNOT_TEST_COORDINATION_SUPPORT_FAKE_NETWORK_H_
+#define BANYANKNOT_TEST_COORDINATION_SUPPORT_FAKE_NETWORK_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "banyanknot/coordination/peer_link.h"
+#include "banyanknot/coordination/random_source.h"
+#include "coordination/support/virtual_time.h"
+
+namespace banyanknot::coordination {
+
+/// \brief Carries messages between host objects of one test.
+///
+/// Loses, delays and cuts as it is told. A paused host's messages wait.
+class FakeNetwork {
+ public:
+  FakeNetwork(VirtualTime& time, std::uint64_t seed)
+      : time(time), random(seed) {}
+
+  void Attach(const state::Endpoint& endpoint,
+              std::vector<PeerHandler*> handlers) {
+    this->stations[state::ToText(endpoint)].handlers = std::move(handlers);
+  }
+  void Detach(const state::Endpoint& endpoint) {
+    this->stations.erase(state::ToText(endpoint));
+  }
+
+  void Send(const state::Endpoint& from, const state::Endpoint& peer,
+            const PeerEnvelope& envelope) {
+    ++this->sent;
+    if (this->is_cut && this->is_cut(from, peer)) return;
+    if (this->random.Below(1'000) < this->loss_permille) return;
+    const state::Duration delay =
+        this->delay + state::Milliseconds(static_cast<std::int64_t>(
+                          this->random.Below(this->jitter_ms + 1)));
+    const std::string key = state::ToText(peer);
+    this->time.RunAt(this->time.Now() + delay,
+                     [this, key, envelope] { this->Deliver(key, envelope); });
+  }
+
+  void SetPaused(const state::Endpoint& endpoint, bool is_paused) {
+    Station& station = this->stations[state::ToText(endpoint)];
+    station.is_paused = is_paused;
+    if (is_paused) return;
+    std::vector<PeerEnvelope> held;
+    held.swap(station.held);
+    for (const PeerEnvelope& envelope : held) {
+      this->Deliver(state::ToText(endpoint), envelope);
+    }
+  }
+
+  /// Whether messages from the first to the second are lost.
+  std::function<bool(const state::Endpoint&, const state::Endpoint&)> is_cut;
+  std::uint64_t loss_permille = 0;
+  state::Duration delay = state::Milliseconds(1);
+  std::uint64_t jitter_ms = 1;
+  std::uint64_t sent = 0;
+
+ private:
+  struct Station {
+    std::vector<PeerHandler*> handlers;
+    std::vector<PeerEnvelope> held;
+    bool is_paused = false;
+  };
+
+  void Deliver(const std::string& key, const PeerEnvelope& envelope) {
+    const auto station = this->stations.find(key);
+    if (station == this->stations.end()) return;
+    if (station->second.is_paused) {
+      station->second.held.push_back(envelope);
+      return;
+    }
+    for (PeerHandler* handler : station->second.handlers) {
+      handler->OnPeerMessage(envelope);
+    }
+  }
+
+  VirtualTime& time;
+  SeededRandomSource random;
+  std::map<std::string, Station> stations;
+};
+
+/// \brief One host's end of a FakeNetwork.
+class FakePeerLink : public PeerLink {
+ public:
+  FakePeerLink(FakeNetwork& network, const state::HostIdentity& self)
+      : network(network), self(self) {}
+
+  void Send(const state::Endpoint& peer, const PeerMessage& message) override {
+    this->network.Send(this->self.self.peer, peer,
+                       {this->self.self.id, this->self.incarnation, message});
+  }
+
+ private:
+  FakeNetwork& network;
+  const state::HostIdentity self;
+};
+
+}  // namespace banyanknot::coordination
+
+#endif  // BANYANKNOT_TEST_COORDINATION_SUPPORT_FAKE_NETWORK_H_
--- /dev/null
+++ b/test/coordination/support/fleet_host.h
@@ -0,0 +1,234 @@
+#ifndef BANYANKNOT_TEST_COORDINATION_SUPPORT_FLEET_HOST_H_
+#define BANYANKNOT_TEST_COORDINATION_SUPPORT_FLEET_HOST_H_
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "banyanknot/Coordination"
+#include "banyanknot/State"
+#include "coordination/support/fake_network.h"
+#include "coordination/support/fake_platform.h"
+#include "coordination/support/line_entry_decoder.h"
+#include "coordination/support/recording_audit_sink.h"
+#include "coordination/support/virtual_time.h"
+
+namespace banyanknot::coordination {
+
+/// \brief Timers of one host; while it is paused they wait.
+class PausableTimers : public TimerService {
+ public:
+  explicit PausableTimers(VirtualTime& time) : time(time) {}
+
+  void RunAt(state::TimePoint when, std::function<void()> function) override {
+    this->time.RunAt(when, [this, function = std::move(function)] {
+      if (this->is_stopped) return;
+      if (this->is_paused) {
+        this->held.push_back(function);
+      } else {
+        function();
+      }
+    });
+  }
+
+  void SetPaused(bool paused) {
+    this->is_paused = paused;
+    if (paused) return;
+    std::vector<std::function<void()>> due;
+    due.swap(this->held);
+    for (const std::function<void()>& function : due) function();
+  }
+  void Stop() { this->is_stopped = true; }
+
+ private:
+  VirtualTime& time;
+  bool is_paused = false;
+  bool is_stopped = false;
+  std::vector<std::function<void()>> held;
+};
+
+/// \brief The parts of one host that agree with other hosts, wired as in the
+/// daemon.
+class FleetHost {
+ public:
+  FleetHost(VirtualTime& time, FakeNetwork& network, FakePlatform& platform,
+            const state::HostIdentity& identity,
+            std::vector<state::Endpoint> seeds, std::uint64_t seed)
+      : identity(identity),
+        network(network),
+        timers(time),
+        random(seed),
+        link(network, identity),
+        client(platform, identity.self.peer),
+        view(identity, hosts),
+        selector(view, random),
+        budget(time, RateLimits()),
+        keeper(catalogue, decoder, audit),
+        spread(time, view, selector, link, catalogue, keeper, contacts, budget),
+        board(time, view, selector, link, budget),
+        registry(identity, time, hosts, audit),
+        membership(view, std::move(seeds), time, timers, random, selector, link,
+                   registry, spread, board, contacts, budget),
+        list(time, timers, random, client, registry),
+        follower(time, timers, random, client, spread, catalogue, view,
+                 contacts),
+        guard(time, timers, view, contacts, {&membership, &follower}, audit) {}
+
+  void Start() {
+    this->network.Attach(this->identity.self.peer,
+                         {&this->membership, &this->spread, &this->board});
+    this->membership.Start();
+    this->list.Start();
+    this->follower.Start();
+    this->guard.Start();
+  }
+
+  void SetPaused(bool paused) {
+    if (paused) {
+      this->network.SetPaused(this->identity.self.peer, true);
+      this->timers.SetPaused(true);
+    } else {
+      this->timers.SetPaused(false);
+      this->network.SetPaused(this->identity.self.peer, false);
+    }
+  }
+
+  /// \brief Ends the host without a word, as when its machine fails.
+  void Kill() {
+    this->timers.Stop();
+    this->network.Detach(this->identity.self.peer);
+  }
+
+  std::string TextOf(const std::string& key) const {
+    const std::optional<state::CatalogueRecord> record =
+        this->catalogue.Find(key);
+    return !record || record->IsTombstone() ? "" : *record->text;
+  }
+  std::uint64_t RevisionOf(const std::string& key) const {
+    const std::optional<state::CatalogueRecord> record =
+        this->catalogue.Find(key);
+    return record ? record->revision : 0;
+  }
+  state::HostState StateOf(const FleetHost& other) const {
+    const std::optional<state::HostRecord> record =
+        this->hosts.Find(other.identity.self.id);
+    return record ? record->host_state : state::HostState::kDead;
+  }
+
+  const state::HostIdentity identity;
+  FakeNetwork& network;
+  PausableTimers timers;
+  SeededRandomSource random;
+  FakePeerLink link;
+  FakePlatformClient client;
+  state::HostTable hosts;
+  state::CatalogueTable catalogue;
+  RecordingAuditSink audit;
+  ContactLog contacts;
+  TableMembershipView view;
+  PeerSelector selector;
+  RateBudget budget;
+  LineEntryDecoder decoder;
+  CatalogueKeeper keeper;
+  CatalogueSpread spread;
+  GossipServerNoteBoard board;
+  HostRegistry registry;
+  Membership membership;
+  HostListFollower list;
+  SparseCatalogueFollower follower;
+  PauseDetector guard;
+};
+
+/// \brief A few hosts in failure domains, with one network and one platform.
+///
+/// Host number n has address 10.D.0.1 for its failure domain D.
+class FleetFixture {
+ public:
+  FleetFixture(std::size_t host_count, std::size_t domain_count,
+               std::uint64_t seed)
+      : network(time, seed), platform(time), seed(seed) {
+    for (std::size_t index = 0; index < host_count; ++index) {
+      this->Add(index, index % domain_count, 1);
+    }
+    for (const std::unique_ptr<FleetHost>& host : this->hosts) {
+      this->platform.hosts.push_back(host->identity.self);
+    }
+  }
+
+  FleetHost& Add(std::size_t number, std::size_t domain,
+                 std::uint64_t incarnation) {
+    state::HostIdentity identity;
+    identity.self.id = state::HostId("h" + std::to_string(number));
+    identity.self.domain = state::FailureDomainId("d" + std::to_string(domain));
+    identity.self.peer = {"10." + std::to_string(domain) + ".0.1",
+                          static_cast<std::uint16_t>(7'000 + number)};
+    identity.self.caller = {identity.self.peer.address, 80};
+    identity.incarnation = incarnation;
+    std::vector<state::Endpoint> seeds;
+    for (std::size_t index = 0; index < 3 && index < this->hosts.size();
+         ++index) {
+      seeds.push_back(this->hosts[index]->identity.self.peer);
+    }
+    this->hosts.push_back(std::make_unique<FleetHost>(
+        this->time, this->network, this->platform, identity, seeds,
+        this->seed * 1'000 + this->hosts.size()));
+    return *this->hosts.back();
+  }
+
+  void Start() {
+    for (const std::unique_ptr<FleetHost>& host : this->hosts) host->Start();
+  }
+
+  void Run(state::Duration duration) { this->time.Advance(duration); }
+
+  /// \brief Runs in steps until `condition` holds for every host.
+  /// \returns the time that it took; more than `bound` if it never held
+  template <typename Condition>
+  state::Duration RunUntilAll(state::Duration bound, Condition condition) {
+    constexpr state::Duration kStep = state::Milliseconds(10);
+    state::Duration taken{0};
+    while (taken <= bound) {
+      bool holds = true;
+      for (const std::unique_ptr<FleetHost>& host : this->hosts) {
+        holds = holds && condition(*host);
+      }
+      if (holds) return taken;
+      this->time.Advance(kStep);
+      taken += kStep;
+    }
+    return taken;
+  }
+
+  /// \brief Cuts failure domain `domain` off from the platform.
+  void CutFromPlatform(std::size_t domain) {
+    const std::string address = "10." + std::to_string(domain) + ".0.1";
+    this->platform.is_cut = [address](const state::Endpoint& from) {
+      return from.address == address;
+    };
+  }
+  /// \brief Cuts failure domain `domain` off from all others.
+  void CutFromPeers(std::size_t domain) {
+    const std::string address = "10." + std::to_string(domain) + ".0.1";
+    this->network.is_cut = [address](const state::Endpoint& from,
+                                     const state::Endpoint& to) {
+      return (from.address == address) != (to.address == address);
+    };
+  }
+  void Heal() {
+    this->platform.is_cut = nullptr;
+    this->network.is_cut = nullptr;
+  }
+
+  VirtualTime time;
+  FakeNetwork network;
+  FakePlatform platform;
+  const std::uint64_t seed;
+  std::vector<std::unique_ptr<FleetHost>> hosts;
+};
+
+}  // namespace banyanknot::coordination
+
+#endif  // BANYANKNOT_TEST_COORDINATION_SUPPORT_FLEET_HOST_H_
--- /dev/null
+++ b/test/coordination/support/virtual_time.h
@@ -0,0 +1,49 @@
+#ifndef BANYANKNOT_TEST_COORDINATION_SUPPORT_VIRTUAL_TIME_H_
+#define BANYANKNOT_TEST_COORDINATION_SUPPORT_VIRTUAL_TIME_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <utility>
+
+#include "banyanknot/coordination/clock.h"
+#include "banyanknot/coordination/timer_service.h"
+
+namespace banyanknot::coordination {
+
+/// \brief A clock that a test moves, and the functions due at each moment.
+///
+/// Single-threaded. Functions due at the same moment run in the order in which
+/// they were added.
+class VirtualTime : public Clock, public TimerService {
+ public:
+  state::TimePoint Now() const override { return this->now; }
+
+  void RunAt(state::TimePoint when, std::function<void()> function) override {
+    this->due.emplace(when < this->now ? this->now : when, std::move(function));
+  }
+
+  /// \brief Runs what is due up to `duration` from now.
+  void Advance(state::Duration duration) {
+    const state::TimePoint end = this->now + duration;
+    while (!this->due.empty() && this->due.begin()->first <= end) {
+      this->now = this->due.begin()->first;
+      const std::function<void()> function =
+          std::move(this->due.begin()->second);
+      this->due.erase(this->due.begin());
+      function();
+    }
+    this->now = end;
+  }
+
+  /// \brief Moves the clock and runs nothing, as for a paused process.
+  void Skip(state::Duration duration) { this->now += duration; }
+
+ private:
+  state::TimePoint now{state::Milliseconds(1'000'000)};
+  std::multimap<state::TimePoint, std::function<void()>> due;
+};
+
+}  // namespace banyanknot::coordination
+
+#endif  // BANYANKNOT_TEST_COORDINATION_SUPPORT_VIRTUAL_TIME_H_
