--- a/include/banyanknot/coordination/query/reported_snapshot_policy.h
+++ b/include/banyanknot/coordination/query/reported_snapshot_policy.h
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "banyanknot/coordination/clock.h"
+#include "banyanknot/coordination/query/first_reply_snapshot_policy.h"
 #include "banyanknot/coordination/query/snapshot_policy.h"
 #include "banyanknot/state/server_record.h"
 #include "banyanknot/state/sharded_table.h"
@@ -37,6 +38,7 @@
 
   const Clock& clock;
   const state::ServerTable& servers;
+  FirstReplySnapshotPolicy fallback;
   state::ShardedTable<state::ServiceId, Choice> choices;
 };
 
--- a/src/coordination/query/reported_snapshot_policy.cc
+++ b/src/coordination/query/reported_snapshot_policy.cc
@@ -97,7 +97,10 @@
     const std::vector<std::uint64_t>& tried) {
   const Ranges ranges =
       ReadRanges(this->servers, map, evidence, this->clock.Now());
-  return Choose(GroupByShard(map, ranges), tried);
+  const std::uint64_t common = Choose(GroupByShard(map, ranges), tried);
+  if (common > 0) return common;
+  // The other shards' reports may lag behind what these servers just said.
+  return this->fallback.ChooseNext(map, evidence, tried);
 }
 
 }  // namespace banyanknot::coordination
--- /dev/null
+++ b/test/coordination/query_admission_test.cc
@@ -0,0 +1,153 @@
+#include <catch2/catch.hpp>
+#include <string>
+#include <vector>
+
+#include "coordination/query_harness.h"
+
+namespace banyanknot::coordination::testing {
+namespace {
+
+using state::Outcome;
+using state::ServiceClass;
+
+state::ServiceEntry OfClass(ServiceClass service_class) {
+  state::ServiceEntry service = MakeService(10, 1);
+  service.id = state::ServiceId(std::string(NameOf(service_class)));
+  service.service_class = service_class;
+  service.limits.max_in_flight = 100'000;
+  return service;
+}
+
+/// Runs rounds in which each class asks for more than servers can take: above
+/// the capacity every query is slow.
+class OverloadedHost {
+ public:
+  explicit OverloadedHost(double capacity)
+      : capacity(capacity), admission(clock) {}
+
+  void RunRound(int queries_of_each) {
+    std::vector<AdmissionTicket> tickets;
+    double load = 0;
+    for (const state::EnumName<ServiceClass>& row : state::kServiceClassNames) {
+      for (int query = 0; query < queries_of_each; ++query) {
+        ++this->offered[row.value];
+        const AdmissionResult result =
+            this->admission.Admit(OfClass(row.value));
+        if (!state::IsOk(result)) continue;
+        tickets.push_back(state::ValueOf(result));
+        load += tickets.back().weight;
+        ++this->admitted[row.value];
+      }
+    }
+    const state::Duration elapsed = load > this->capacity
+                                        ? state::Milliseconds(200)
+                                        : state::Milliseconds(10);
+    this->clock.Advance(elapsed);
+    for (const AdmissionTicket& ticket : tickets) {
+      this->admission.OnFinished(ticket, {Outcome::kOk, elapsed, 0});
+    }
+  }
+
+  double ShareOf(ServiceClass service_class) {
+    return static_cast<double>(this->admitted[service_class]) /
+           this->offered[service_class];
+  }
+
+  std::map<ServiceClass, int> offered;
+  std::map<ServiceClass, int> admitted;
+
+ private:
+  double capacity;
+  ManualClock clock;
+  ClassAdmission admission;
+};
+
+TEST_CASE("Overload sheds the lowest class first") {
+  OverloadedHost host(400);
+  host.RunRound(1);
+  for (int round = 0; round < 300; ++round) host.RunRound(30);
+  CHECK(host.ShareOf(ServiceClass::kWhole) > 0.95);
+  CHECK(host.ShareOf(ServiceClass::kComparison) < 0.25);
+  CHECK(host.ShareOf(ServiceClass::kLatencyFirst) >=
+        host.ShareOf(ServiceClass::kComparison));
+}
+
+TEST_CASE("Without congestion every class is admitted") {
+  OverloadedHost host(1e9);
+  for (int round = 0; round < 100; ++round) host.RunRound(20);
+  for (const state::EnumName<ServiceClass>& row : state::kServiceClassNames) {
+    CHECK(host.ShareOf(row.value) == 1);
+  }
+}
+
+TEST_CASE("A service's own limit refuses at once and truly") {
+  QueryHarness harness;
+  state::ServiceEntry service = MakeService(2, 1);
+  service.limits.max_in_flight = 1;
+  Publish(harness.catalogue, service, 1);
+  harness.Ask(harness.MakeQuery());
+  harness.Ask(harness.MakeQuery());
+  REQUIRE(harness.answers.size() == 1);
+  CHECK(harness.answers.front().outcome == Outcome::kNotRun);
+  CHECK(harness.answers.front().retry_after.count() > 0);
+  CHECK(harness.backend.sent.size() == 2);
+  harness.backend.AnswerAll(
+      [](const state::SubRequest& request) { return GoodReply(request, 5); });
+  harness.Ask(harness.MakeQuery());
+  CHECK(harness.backend.sent.size() == 4);
+}
+
+struct ClassRow {
+  std::string situation;
+  ServiceClass service_class;
+  double service_floor;
+  double caller_floor;
+  Outcome outcome;
+  std::size_t records;
+  bool is_before_deadline;
+};
+
+TEST_CASE("One shard of four stays silent: each class answers by its rule") {
+  const std::vector<ClassRow> rows = {
+      {"whole", ServiceClass::kWhole, 0.5, 0, Outcome::kDeadline, 0, false},
+      {"comparison over its floor", ServiceClass::kComparison, 0.5, 0,
+       Outcome::kOk, 30, true},
+      {"comparison under the caller's floor", ServiceClass::kComparison, 0.5,
+       0.9, Outcome::kDeadline, 30, false},
+      {"comparison under the service's floor", ServiceClass::kComparison, 0.9,
+       0.5, Outcome::kDeadline, 30, false},
+      {"latency first over its floor", ServiceClass::kLatencyFirst, 0.75, 0.5,
+       Outcome::kOk, 30, true},
+      {"latency first, all asked for", ServiceClass::kLatencyFirst, 0.5, 1,
+       Outcome::kDeadline, 30, false},
+  };
+  for (const ClassRow& row : rows) {
+    INFO(row.situation);
+    QueryHarness harness;
+    state::ServiceEntry service = MakeService(4, 1);
+    service.service_class = row.service_class;
+    service.limits.coverage_floor = row.service_floor;
+    Publish(harness.catalogue, service, 1);
+    state::Query query = harness.MakeQuery(state::Milliseconds(200));
+    query.coverage_floor = row.caller_floor;
+    const state::TimePoint deadline =
+        harness.clock.Now() + state::Milliseconds(200);
+    harness.Ask(query);
+    const ManualBackend::Call silent = harness.backend.TakeFirst();
+    harness.backend.AnswerAll(
+        [](const state::SubRequest& request) { return GoodReply(request, 5); });
+    harness.timers.RunUntil(deadline - state::Milliseconds(1));
+    CHECK(harness.answers.size() == (row.is_before_deadline ? 1 : 0));
+    harness.timers.RunUntil(deadline);
+    REQUIRE(harness.answers.size() == 1);
+    const state::Answer& answer = harness.answers.front();
+    CHECK(answer.outcome == row.outcome);
+    CHECK(answer.records.size() == row.records);
+    CHECK(answer.coverage == static_cast<double>(row.records) / 40);
+    silent.handler(BackendFailure::kTimeout);
+    CHECK(harness.executor.InFlight() == 0);
+  }
+}
+
+}  // namespace
+}  // namespace banyanknot::coordination::testing
--- a/test/coordination/query_harness.h
+++ b/test/coordination/query_harness.h
@@ -202,9 +202,39 @@
   catalogue.Put(record);
 }
 
+/// \brief Hedges after a fixed delay, as often as it is asked.
+class FixedHedgePolicy : public HedgePolicy {
+ public:
+  explicit FixedHedgePolicy(state::Duration delay) : delay(delay) {}
+  std::optional<state::Duration> DelayOf(
+      const state::ServiceId& /*service*/) override {
+    return this->delay;
+  }
+  bool TryTake(const state::ServiceId& /*service*/) override {
+    if (this->allowed == 0) return false;
+    --this->allowed;
+    return true;
+  }
+  void OnSent(const state::ServiceId& /*service*/, std::size_t count) override {
+    this->sent += count;
+  }
+  void OnReplyTimes(const state::ServiceId& /*service*/,
+                    const std::vector<state::Duration>& times) override {
+    this->times = times;
+  }
+
+  std::size_t allowed = 1'000;
+  std::size_t sent = 0;
+  std::vector<state::Duration> times;
+
+ private:
+  state::Duration delay;
+};
+
 /// \brief An executor with fakes around it and the full policies inside.
 struct QueryHarness {
-  explicit QueryHarness(std::uint64_t seed = 1)
+  /// \param hedging takes the place of the full hedge policy unless null
+  explicit QueryHarness(std::uint64_t seed = 1, HedgePolicy* hedging = nullptr)
       : timers(clock),
         random(seed),
         gate(clock),
@@ -214,7 +244,8 @@
         hedges(catalogue),
         retries(catalogue),
         executor(7, clock, timers, backend, catalogue,
-                 {admission, snapshots, selector, gate, hedges, retries},
+                 {admission, snapshots, selector, gate,
+                  hedging == nullptr ? hedges : *hedging, retries},
                  counters) {}
 
   /// \brief Starts a query; its answer will stand in `answers`.
--- a/test/coordination/query_property_test.cc
+++ b/test/coordination/query_property_test.cc
@@ -1,6 +1,7 @@
 #include <catch2/catch.hpp>
 #include <cmath>
 #include <map>
+#include <optional>
 #include <random>
 #include <string>
 #include <vector>
@@ -23,7 +24,10 @@
 /// crosses, truncates and delays replies, all drawn from one seed.
 class UnreliableWorld {
  public:
-  explicit UnreliableWorld(std::uint64_t seed) : engine(seed), harness(seed) {
+  explicit UnreliableWorld(std::uint64_t seed)
+      : engine(seed),
+        hedging(state::Milliseconds(1 + seed % 5)),
+        harness(seed, &hedging) {
     this->service = MakeService(this->Draw(1, 6), kReplicas);
     this->service.service_class =
         state::kServiceClassNames[this->Draw(0, 2)].value;
@@ -195,6 +199,7 @@
   }
 
   std::mt19937_64 engine;
+  FixedHedgePolicy hedging;
   QueryHarness harness;
   state::ServiceEntry service;
   std::map<state::ServerId, std::uint64_t> oldest;
