--- a/include/banyanknot/coordination/query/class_admission.h
+++ b/include/banyanknot/coordination/query/class_admission.h
@@ -17,7 +17,8 @@
 /// Each service has its own limit of queries in flight. Above that, a limit of
 /// sub-requests in flight adapts to how queries end; a class sees only the load
 /// of its own and higher classes, so lower ones can't push it out, and lower
-/// classes leave some of the limit free. Refuses at once, before anything runs.
+/// classes leave room for the recent peak of the higher ones. Refuses at once,
+/// before anything runs.
 ///
 /// Thread-safe. Services are in shards; the adaptive limit is one record for
 /// the host under its own lock, taken twice a query.
@@ -37,12 +38,19 @@
     double best_ms = 0;  // elapsed time of a query without congestion
   };
   struct HostLoad {
-    explicit HostLoad(state::TimePoint now) : limit(now) {}
-    double Of(state::ServiceClass least) const;
+    explicit HostLoad(state::TimePoint now) : limit(now), faded_at(now) {}
+
+    /// \brief What a query of a class has to leave room for.
+    double LoadAgainst(state::ServiceClass service_class) const;
+    double Total() const;
+    void Add(state::ServiceClass service_class, double weight);
+    void FadePeaks(state::TimePoint now);
 
     std::mutex mutex;
     ConcurrencyLimit limit;
     std::array<double, kClasses> in_flight{};  // by class
+    std::array<double, kClasses> peaks{};      // of late, by class
+    state::TimePoint faded_at;
   };
 
   bool TakeServiceSlot(const state::ServiceEntry& service);
--- a/include/banyanknot/coordination/query/concurrency_limit.h
+++ b/include/banyanknot/coordination/query/concurrency_limit.h
@@ -28,7 +28,7 @@
  private:
   void CloseWindow(state::TimePoint now, double protected_load);
 
-  double value = 1'024;
+  double value = 16'384;
   state::TimePoint window_start;
   double peak_in_flight = 0;
   std::uint32_t endings = 0;
--- a/src/coordination/query/class_admission.cc
+++ b/src/coordination/query/class_admission.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cstddef>
+#include <numeric>
 
 namespace banyanknot::coordination {
 namespace {
@@ -14,6 +15,8 @@
 constexpr double kBestTimeDrift = 1.0002;  // by each query
 constexpr double kMinBestMs = 1;
 constexpr double kProtectedHeadroom = 1.25;
+constexpr state::Duration kPeakFadeInterval = state::Milliseconds(50);
+constexpr double kPeakFade = 0.8;
 
 // Share of the limit that the load may reach for a class to be admitted.
 constexpr double ShareOf(ServiceClass service_class) {
@@ -49,14 +52,32 @@
 ClassAdmission::ClassAdmission(const Clock& clock)
     : clock(clock), host(clock.Now()) {}
 
-double ClassAdmission::HostLoad::Of(ServiceClass least) const {
-  double load = 0;
-  for (std::size_t index = 0; index <= IndexOf(least); ++index) {
-    load += this->in_flight[index];
-  }
+double ClassAdmission::HostLoad::LoadAgainst(ServiceClass service_class) const {
+  const std::size_t own = IndexOf(service_class);
+  double load = this->in_flight[own];
+  for (std::size_t index = 0; index < own; ++index) load += this->peaks[index];
   return load;
 }
 
+double ClassAdmission::HostLoad::Total() const {
+  return std::accumulate(this->in_flight.begin(), this->in_flight.end(), 0.0);
+}
+
+void ClassAdmission::HostLoad::Add(ServiceClass service_class, double weight) {
+  const std::size_t index = IndexOf(service_class);
+  this->in_flight[index] += weight;
+  this->peaks[index] = std::max(this->peaks[index], this->in_flight[index]);
+}
+
+void ClassAdmission::HostLoad::FadePeaks(state::TimePoint now) {
+  if (now - this->faded_at < kPeakFadeInterval) return;
+  this->faded_at = now;
+  for (std::size_t index = 0; index < kClasses; ++index) {
+    this->peaks[index] =
+        std::max(this->in_flight[index], this->peaks[index] * kPeakFade);
+  }
+}
+
 AdmissionResult ClassAdmission::Admit(const state::ServiceEntry& service) {
   if (!this->TakeServiceSlot(service)) {
     return AdmissionRefusal{"the service has too many queries in flight",
@@ -84,12 +105,14 @@
 }
 
 bool ClassAdmission::TakeHostSlots(const AdmissionTicket& ticket) {
+  const state::TimePoint now = this->clock.Now();
   const std::lock_guard<std::mutex> lock(this->host.mutex);
-  const double load = this->host.Of(ticket.service_class);
+  this->host.FadePeaks(now);
+  const double load = this->host.LoadAgainst(ticket.service_class);
   const double allowed =
       this->host.limit.Value() * ShareOf(ticket.service_class);
   if (load > 0 && load + ticket.weight > allowed) return false;
-  this->host.in_flight[IndexOf(ticket.service_class)] += ticket.weight;
+  this->host.Add(ticket.service_class, ticket.weight);
   return true;
 }
 
@@ -115,8 +138,8 @@
   const bool is_congested = this->IsCongested(ticket, ending);
   const state::TimePoint now = this->clock.Now();
   const std::lock_guard<std::mutex> lock(this->host.mutex);
-  const double total = this->host.Of(ServiceClass::kComparison);
-  const double highest = this->host.Of(ServiceClass::kWhole);
+  const double total = this->host.Total();
+  const double highest = this->host.in_flight[IndexOf(ServiceClass::kWhole)];
   // While lower classes share the load, the congestion is theirs to relieve.
   const double protected_load =
       total > highest ? highest * kProtectedHeadroom : 0;
--- a/test/coordination/query_admission_test.cc
+++ b/test/coordination/query_admission_test.cc
@@ -28,15 +28,18 @@
   void RunRound(int queries_of_each) {
     std::vector<AdmissionTicket> tickets;
     double load = 0;
-    for (const state::EnumName<ServiceClass>& row : state::kServiceClassNames) {
+    // The lowest class comes first, which must not put it at an advantage.
+    for (const ServiceClass service_class :
+         {ServiceClass::kComparison, ServiceClass::kLatencyFirst,
+          ServiceClass::kWhole}) {
       for (int query = 0; query < queries_of_each; ++query) {
-        ++this->offered[row.value];
+        ++this->offered[service_class];
         const AdmissionResult result =
-            this->admission.Admit(OfClass(row.value));
+            this->admission.Admit(OfClass(service_class));
         if (!state::IsOk(result)) continue;
         tickets.push_back(state::ValueOf(result));
         load += tickets.back().weight;
-        ++this->admitted[row.value];
+        ++this->admitted[service_class];
       }
     }
     const state::Duration elapsed = load > this->capacity
