--- a/include/banyanknot/coordination/query/class_admission.h
+++ b/include/banyanknot/coordination/query/class_admission.h
@@ -56,7 +56,8 @@
   bool TakeServiceSlot(const state::ServiceEntry& service);
   void ReturnServiceSlot(const state::ServiceId& service);
   bool TakeHostSlots(const AdmissionTicket& ticket);
-  bool IsCongested(const AdmissionTicket& ticket, const QueryEnding& ending);
+  Congestion JudgeEnding(const AdmissionTicket& ticket,
+                         const QueryEnding& ending);
 
   const Clock& clock;
   state::ShardedTable<state::ServiceId, ServiceLoad> services;
--- a/include/banyanknot/coordination/query/concurrency_limit.h
+++ b/include/banyanknot/coordination/query/concurrency_limit.h
@@ -7,6 +7,13 @@
 
 namespace banyanknot::coordination {
 
+/// \brief How strongly the ending of a query speaks for overload.
+enum class Congestion {
+  kNone,  ///< answered in about the usual time
+  kSlow,  ///< answered, but late; stragglers alone can do that
+  kLost,  ///< not answered in time, or refused by servers as overloaded
+};
+
 /// \brief How many sub-requests this host keeps in flight, found by trial.
 ///
 /// Grows additively while queries end well and the limit is used, shrinks by
@@ -19,10 +26,10 @@
   double Value() const { return this->value; }
 
   /// \brief Takes one query's ending into account.
-  /// \param is_congested it was late, slow or shed by servers
+  /// \param congestion how it ended, as a sign of overload
   /// \param in_flight sub-requests in flight as it ended, its own too
   /// \param protected_load the limit does not shrink below this
-  void Observe(state::TimePoint now, bool is_congested, double in_flight,
+  void Observe(state::TimePoint now, Congestion congestion, double in_flight,
                double protected_load);
 
  private:
@@ -32,7 +39,7 @@
   state::TimePoint window_start;
   double peak_in_flight = 0;
   std::uint32_t endings = 0;
-  std::uint32_t congested_endings = 0;
+  double congestion_sum = 0;
 };
 
 }  // namespace banyanknot::coordination
--- a/include/banyanknot/coordination/query/query_executor.h
+++ b/include/banyanknot/coordination/query/query_executor.h
@@ -25,9 +25,10 @@
 
 /// \brief Runs queries: feeds events to each QueryRun and does what it asks.
 ///
-/// Thread-safe. Runs live in a sharded table. The events of one run wait in its
-/// inbox; the thread that finds the inbox idle takes them out and handles them
-/// with no lock held, so nothing is called out of a shard while it is locked.
+/// Thread-safe. Runs live in a sharded table. One thread at a time handles the
+/// events of a run, with no lock held, so nothing is called out of a shard
+/// while it is locked; events that come meanwhile wait in the run's inbox and
+/// are handled by that thread next.
 class QueryExecutor {
  public:
   /// \param origin drawn at random for this incarnation of the host
@@ -80,7 +81,7 @@
                                AnswerHandler& handler);
   void Start(const state::RequestId& id, Entry entry);
   void Post(const state::RequestId& id, Event event);
-  void Drain(const state::RequestId& id, QueryRun& run);
+  void Drain(const state::RequestId& id, QueryRun& run, Event first);
   std::vector<Event> TakeInbox(const state::RequestId& id);
   QueryEffects Handle(QueryRun& run, Event event);
   void Perform(const state::RequestId& id, const QueryRun& run,
--- a/include/banyanknot/coordination/random_source.h
+++ b/include/banyanknot/coordination/random_source.h
@@ -2,7 +2,6 @@
 #define BANYANKNOT_COORDINATION_RANDOM_SOURCE_H_
 
 #include <array>
-#include <atomic>
 #include <cstddef>
 #include <cstdint>
 #include <mutex>
@@ -22,7 +21,8 @@
 
 /// \brief Random numbers from generators seeded with a given number.
 ///
-/// Thread-safe: several generators, each under its own lock.
+/// Thread-safe: several generators, each under its own lock; a thread keeps to
+/// one.
 class SeededRandomSource : public RandomSource {
  public:
   explicit SeededRandomSource(std::uint64_t seed);
@@ -36,7 +36,6 @@
   };
 
   std::array<Generator, kGenerators> generators;
-  std::atomic<std::size_t> next{0};
 };
 
 }  // namespace banyanknot::coordination
--- a/src/coordination/query/class_admission.cc
+++ b/src/coordination/query/class_admission.cc
@@ -43,6 +43,12 @@
   return state::Milliseconds(1'000);
 }
 
+// A few queries at a time of the highest class are never refused.
+double MinLoadOf(const AdmissionTicket& ticket) {
+  const double queries = ticket.service_class == ServiceClass::kWhole ? 4 : 1;
+  return queries * ticket.weight;
+}
+
 constexpr std::size_t IndexOf(ServiceClass service_class) {
   return static_cast<std::size_t>(service_class);
 }
@@ -110,14 +116,15 @@
   this->host.FadePeaks(now);
   const double load = this->host.LoadAgainst(ticket.service_class);
   const double allowed =
-      this->host.limit.Value() * ShareOf(ticket.service_class);
-  if (load > 0 && load + ticket.weight > allowed) return false;
+      std::max(this->host.limit.Value() * ShareOf(ticket.service_class),
+               MinLoadOf(ticket));
+  if (load + ticket.weight > allowed) return false;
   this->host.Add(ticket.service_class, ticket.weight);
   return true;
 }
 
-bool ClassAdmission::IsCongested(const AdmissionTicket& ticket,
-                                 const QueryEnding& ending) {
+Congestion ClassAdmission::JudgeEnding(const AdmissionTicket& ticket,
+                                       const QueryEnding& ending) {
   const bool is_answered = ending.outcome == state::Outcome::kOk;
   const double elapsed_ms =
       std::max(kMinBestMs, state::ToFractionalMilliseconds(ending.elapsed));
@@ -129,13 +136,15 @@
         load.best_ms = drifted > 0 ? std::min(drifted, elapsed_ms) : elapsed_ms;
         return elapsed_ms > kCongestedSlowdown * load.best_ms;
       });
-  return is_slow || ending.shed_replies > 0 ||
-         ending.outcome == state::Outcome::kDeadline;
+  if (ending.shed_replies > 0 || ending.outcome == state::Outcome::kDeadline) {
+    return Congestion::kLost;
+  }
+  return is_slow ? Congestion::kSlow : Congestion::kNone;
 }
 
 void ClassAdmission::OnFinished(const AdmissionTicket& ticket,
                                 const QueryEnding& ending) {
-  const bool is_congested = this->IsCongested(ticket, ending);
+  const Congestion congestion = this->JudgeEnding(ticket, ending);
   const state::TimePoint now = this->clock.Now();
   const std::lock_guard<std::mutex> lock(this->host.mutex);
   const double total = this->host.Total();
@@ -143,7 +152,7 @@
   // While lower classes share the load, the congestion is theirs to relieve.
   const double protected_load =
       total > highest ? highest * kProtectedHeadroom : 0;
-  this->host.limit.Observe(now, is_congested, total, protected_load);
+  this->host.limit.Observe(now, congestion, total, protected_load);
   this->host.in_flight[IndexOf(ticket.service_class)] -= ticket.weight;
 }
 
--- a/src/coordination/query/load_aware_replica_selector.cc
+++ b/src/coordination/query/load_aware_replica_selector.cc
@@ -74,8 +74,10 @@
   SetCosts(ranked);
   const std::size_t first = this->random.Below(ranked.size());
   std::swap(ranked[0], ranked[first]);
-  const std::size_t second = 1 + this->random.Below(ranked.size() - 1);
-  std::swap(ranked[1], ranked[second]);
+  if (ranked.size() > 2) {
+    const std::size_t second = 1 + this->random.Below(ranked.size() - 1);
+    std::swap(ranked[1], ranked[second]);
+  }
   if (IsClearlyBetter(ranked[1], ranked[0])) std::swap(ranked[0], ranked[1]);
   std::sort(ranked.begin() + 1, ranked.end(), IsBetter);
   // Two random choices may both be bad: a better tier always goes first.
--- a/src/coordination/query/query_executor.cc
+++ b/src/coordination/query/query_executor.cc
@@ -108,23 +108,27 @@
 
 void QueryExecutor::Post(const state::RequestId& id, Event event) {
   std::shared_ptr<QueryRun> run;
-  const bool is_late_result = event.kind == EventKind::kResult;
   const bool is_known =
       this->entries.UpdateIfPresent(id, [&run, &event](Entry& entry) {
-        entry.inbox.push_back(std::move(event));
-        if (entry.is_draining) return;
+        if (entry.is_draining) {
+          entry.inbox.push_back(std::move(event));
+          return;
+        }
         entry.is_draining = true;
         run = entry.run;
       });
-  if (!is_known && is_late_result) {
+  if (!is_known && event.kind == EventKind::kResult) {
     state::QueryTally tally;
     ++tally.Of(state::ReplyVerdict::kLate);
     this->counters.Add(tally);
   }
-  if (run != nullptr) this->Drain(id, *run);
+  if (run != nullptr) this->Drain(id, *run, std::move(event));
 }
 
-void QueryExecutor::Drain(const state::RequestId& id, QueryRun& run) {
+void QueryExecutor::Drain(const state::RequestId& id, QueryRun& run,
+                          Event first) {
+  this->Perform(id, run, this->Handle(run, std::move(first)));
+  this->RemoveIfSettled(id, run);
   for (std::vector<Event> events = this->TakeInbox(id); !events.empty();
        events = this->TakeInbox(id)) {
     for (Event& event : events) {
--- a/src/coordination/random_source.cc
+++ b/src/coordination/random_source.cc
@@ -1,5 +1,8 @@
 #include "banyanknot/coordination/random_source.h"
 
+#include <functional>
+#include <thread>
+
 #include "banyanknot/state/util/assert.h"
 
 namespace banyanknot::coordination {
@@ -11,7 +14,7 @@
 std::uint64_t SeededRandomSource::Below(std::uint64_t bound) {
   BANYANKNOT_ASSERT(bound > 0, "ask for a number below at least 1");
   const std::size_t index =
-      this->next.fetch_add(1, std::memory_order_relaxed) % kGenerators;
+      std::hash<std::thread::id>()(std::this_thread::get_id()) % kGenerators;
   Generator& generator = this->generators[index];
   const std::lock_guard<std::mutex> lock(generator.mutex);
   return std::uniform_int_distribution<std::uint64_t>(
