--- a/daemons/host_application.cc
+++ b/daemons/host_application.cc
@@ -17,7 +17,7 @@
 namespace banyanknot::daemons {
 namespace {
 
-constexpr std::size_t kConnectionsPerServer = 2;
+constexpr state::Duration kSharesInterval = state::Milliseconds(1'000);
 
 std::uint64_t DrawOrigin() {
   std::random_device device;
@@ -53,6 +53,13 @@
 }  // namespace
 
 struct HostApplication::Parts {
+  void ApplySharesRegularly() {
+    this->server_parts.fleet_shares.Refresh();
+    this->pools.ApplyShares();
+    this->timers.RunAt(this->clock.Now() + kSharesInterval,
+                       [this] { this->ApplySharesRegularly(); });
+  }
+
   explicit Parts(const HostSettings& settings)
       : settings(settings),
         identity(IdentityOf(settings, wall_clock)),
@@ -65,9 +72,18 @@
         platform(threads.Context(), clock, settings.platform),
         keeper(catalogue, codec, audit),
         follower(clock, timers, platform, keeper),
-        backend(threads.Context(), clock, kConnectionsPerServer),
         server_parts(settings.policies, clock, timers, random, catalogue,
                      servers, hosts, identity, audit, board),
+        pools(threads.Context(), clock, server_parts.Shares(),
+              server_parts.fleet_gate,
+              settings.policies == PolicySet::kNaive
+                  ? transport::ConnectionChecks::kNone
+                  : transport::ConnectionChecks::kSilent),
+        backend(clock, pools),
+        health(clock, pools),
+        prober(clock, timers, random, health, servers, server_parts.roster,
+               settings.id, server_parts.rules, server_parts.journal,
+               coordination::ProbeTimes()),
         policies(settings.policies, clock, random, catalogue, servers,
                  server_parts.Gate()),
         executor(origin, clock, timers, backend, catalogue,
@@ -95,9 +111,12 @@
   transport::PlatformHttpClient platform;
   coordination::CatalogueKeeper keeper;
   coordination::PollingCatalogueFollower follower;
-  transport::BackendHttpClient backend;
   LocalServerNoteBoard board;
   ServerParts server_parts;
+  transport::BackendPools pools;
+  transport::BackendHttpClient backend;
+  transport::BackendHealthHttpClient health;
+  coordination::ServerProber prober;
   state::QueryCounters counters;
   HostPolicies policies;
   coordination::QueryExecutor executor;
@@ -135,6 +154,8 @@
   std::fflush(stdout);
   this->parts->follower.Start();
   this->parts->server_parts.Start();
+  this->parts->ApplySharesRegularly();
+  this->parts->prober.Start();
   std::promise<void> stopped;
   boost::asio::signal_set signals(this->parts->threads.Context(), SIGTERM,
                                   SIGINT);
--- a/daemons/server_parts.cc
+++ b/daemons/server_parts.cc
@@ -1,6 +1,11 @@
 #include "server_parts.h"
 
 namespace banyanknot::daemons {
+namespace {
+
+constexpr coordination::ConnectionShare kNaiveConnections = {2, 2};
+
+}  // namespace
 
 ServerParts::ServerParts(PolicySet policies, const coordination::Clock& clock,
                          coordination::TimerService& timers,
@@ -23,7 +28,9 @@
       domains(catalogue),
       fleet_gate(clock, servers, domains, ownership, slots, backoff, rules,
                  journal),
-      upkeep(clock, timers, catalogue, servers, ownership, rules, journal) {
+      upkeep(clock, timers, catalogue, servers, ownership, rules, journal),
+      fixed_shares(kNaiveConnections),
+      fleet_shares(servers, roster) {
   board.Subscribe(this->receiver);
 }
 
@@ -32,6 +39,11 @@
   return this->fleet_gate;
 }
 
+const coordination::ConnectionShares& ServerParts::Shares() const {
+  if (this->policies == PolicySet::kNaive) return this->fixed_shares;
+  return this->fleet_shares;
+}
+
 void ServerParts::Start() { this->upkeep.Start(); }
 
 }  // namespace banyanknot::daemons
--- a/daemons/server_parts.h
+++ b/daemons/server_parts.h
@@ -19,6 +19,9 @@
   /// \brief The gate of the policies that were asked for.
   coordination::ServerGate& Gate();
 
+  /// \brief The shares of connections of those policies.
+  const coordination::ConnectionShares& Shares() const;
+
   /// \brief Starts what runs at intervals.
   void Start();
 
@@ -35,6 +38,8 @@
   coordination::CatalogueDomainAdmission domains;
   coordination::FleetServerGate fleet_gate;
   coordination::ServerUpkeep upkeep;
+  coordination::FixedConnectionShares fixed_shares;
+  coordination::FleetConnectionShares fleet_shares;
 };
 
 }  // namespace banyanknot::daemons
--- a/include/banyanknot/coordination/servers/phase_cause.h
+++ b/include/banyanknot/coordination/servers/phase_cause.h
@@ -14,6 +14,7 @@
   kConnectionLost,   ///< it closed a connection; it may have restarted
   kSlowReplies,      ///< replies became much slower without load
   kLostWarmth,       ///< its replies say that it is no longer warm
+  kStrained,         ///< it refused or slowed down on the ramp
   kDomainReturned,   ///< its failure domain was put back
   kListedAgain,      ///< its catalogue entry came back
   kConfirmed,        ///< the same instance answered again
@@ -24,11 +25,12 @@
 };
 
 /// \brief Names of PhaseCause, as they stand in messages and logs.
-inline constexpr std::array<state::EnumName<PhaseCause>, 11> kPhaseCauseNames{{
+inline constexpr std::array<state::EnumName<PhaseCause>, 12> kPhaseCauseNames{{
     {PhaseCause::kNewInstance, "new_instance"},
     {PhaseCause::kConnectionLost, "connection_lost"},
     {PhaseCause::kSlowReplies, "slow_replies"},
     {PhaseCause::kLostWarmth, "lost_warmth"},
+    {PhaseCause::kStrained, "strained"},
     {PhaseCause::kDomainReturned, "domain_returned"},
     {PhaseCause::kListedAgain, "listed_again"},
     {PhaseCause::kConfirmed, "confirmed"},
--- a/include/banyanknot/coordination/servers/server_phase_rules.h
+++ b/include/banyanknot/coordination/servers/server_phase_rules.h
@@ -11,11 +11,11 @@
 
 /// \brief Bounds by which a server's phase is decided.
 struct ServerPhaseBounds {
-  /// Replies in time, in a row, that make a server warm whose start was not
-  /// seen and which says itself that it is warm.
-  std::uint32_t good_replies_to_warm = 10;
+  /// Replies in time, in a row, that end a step of the ramp of a server whose
+  /// start was not seen and which says that it is warm.
+  std::uint32_t good_replies_per_step = 10;
   /// Least time over which those replies come.
-  state::Duration least_trial = state::Milliseconds(300);
+  state::Duration least_step = state::Milliseconds(300);
   /// Slow replies in a row that make a warm server suspect.
   std::uint32_t slow_replies_to_cold = 5;
   /// A reply is slow from this multiple of the usual latency on.
@@ -27,8 +27,11 @@
 /// \brief Decides the phase of a backend server from what is seen of it.
 ///
 /// Pure functions of a record and an event; they run under the record's lock
-/// and call nothing outside. No claim of the server alone makes it warm, and
-/// an instance that was seen leaving stays so.
+/// and call nothing outside. A server whose start was seen is cold for its
+/// whole warm-up. One whose start was not seen climbs a ramp: each step doubles
+/// what it is given, and ends with enough replies in time; strain on the ramp
+/// makes it cold for a whole warm-up. No claim of the server alone makes it
+/// warm, and an instance that was seen leaving stays so.
 class ServerPhaseRules {
  public:
   explicit ServerPhaseRules(ServerPhaseBounds bounds) : bounds(bounds) {}
@@ -70,6 +73,8 @@
                                   const state::SubReply& reply,
                                   state::Duration latency,
                                   state::TimePoint now) const;
+  MaybePhaseChange ClimbRamp(state::ServerRecord& record,
+                             state::TimePoint now) const;
   bool IsSlow(const state::ServerRecord& record, state::Duration latency) const;
 
   const ServerPhaseBounds bounds;
--- a/include/banyanknot/state/server_record.h
+++ b/include/banyanknot/state/server_record.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <vector>
 
+#include "banyanknot/state/endpoint.h"
 #include "banyanknot/state/identifier.h"
 #include "banyanknot/state/server_phase.h"
 #include "banyanknot/state/sharded_table.h"
@@ -15,6 +16,8 @@
 /// \brief What the catalogue says a server bears; copied from its entry.
 struct ServerLimits {
   FailureDomainId domain;
+  Endpoint endpoint;
+  std::uint32_t connections = 1;
   std::uint32_t slots = 1;
   std::uint32_t cold_slots = 1;
   Duration warm_up{0};
@@ -48,11 +51,14 @@
   bool is_listed = true;               ///< stands in the catalogue in force
   bool domain_was_out = false;  ///< its domain has not been seen in again
   Duration usual_latency{0};    ///< slow moving average while warm; 0 if none
-  std::uint32_t good_replies = 0;        ///< in a row, while not warm
+  std::uint32_t good_replies = 0;  ///< in a row, while not warm
+  std::uint32_t ramp_step = 0;  ///< doublings of the cold slots while unknown
+  TimePoint ramp_step_since;
   std::uint32_t slow_replies = 0;        ///< in a row, while warm
   std::uint32_t others_in_progress = 0;  ///< reported, less this host's own
   TimePoint last_reply_at;               ///< the epoch if there was none
   TimePoint confirmed_at;  ///< latest start of work that `instance` answered
+  TimePoint probed_at;     ///< when its health was asked for last
   TimePoint retry_at;      ///< unreachable: no attempt before this moment
 };
 
--- a/include/banyanknot/transport/http_connection_pool.h
+++ b/include/banyanknot/transport/http_connection_pool.h
@@ -9,6 +9,7 @@
 #include "banyanknot/protocol/http_message.h"
 #include "banyanknot/state/endpoint.h"
 #include "banyanknot/state/result.h"
+#include "banyanknot/transport/http_pool_options.h"
 #include "banyanknot/transport/transport_error.h"
 
 namespace boost::asio {
@@ -22,36 +23,59 @@
   protocol::HttpRequest request;
   state::TimePoint send_before;  ///< not written any more after this
   state::TimePoint deadline;     ///< the handler is called by then
+  bool repeatable = true;  ///< false: only on a connection that just answered
 };
 
 using HttpCallResult = state::Result<protocol::HttpResponse, TransportError>;
 using HttpCallHandler = std::function<void(HttpCallResult)>;
 
+namespace internal {
+
+class PoolCore;
+
+}  // namespace internal
+
 /// \brief Keep-alive connections to one endpoint.
 ///
 /// Thread-safe. Carries one call at a time a connection and never repeats one.
-/// Calls beyond the connection limit wait until their time is up.
+/// Calls beyond the connection limit wait until their time is up. A connection
+/// that was quiet for long is checked before it carries a call, and a call that
+/// stays unanswered while others are answered gives its place to a new
+/// connection, so that a silent connection costs one call at most.
+///
 /// Errors: kConnect, kLimit and kExpired say that no byte was written;
-/// kLost and kTimeout say that some were.
+/// kLost and kTimeout say that some may have been.
 class HttpConnectionPool {
  public:
-  /// \param max_connections most connections open at once
+  /// \pre options.limits.most > 0
+  HttpConnectionPool(boost::asio::io_context& context,
+                     const coordination::Clock& clock, state::Endpoint endpoint,
+                     HttpPoolOptions options);
+  /// \brief A pool without checks of its connections.
   /// \pre max_connections > 0
   HttpConnectionPool(boost::asio::io_context& context,
                      const coordination::Clock& clock, state::Endpoint endpoint,
                      std::size_t max_connections);
   ~HttpConnectionPool();
 
+  HttpConnectionPool(const HttpConnectionPool&) = delete;
+  HttpConnectionPool& operator=(const HttpConnectionPool&) = delete;
+
   /// \param handler called exactly once, never inside Call()
   void Call(HttpCall call, HttpCallHandler handler);
 
+  /// \brief Changes the limits; connections beyond them close when idle.
+  /// \pre limits.most > 0
+  void SetLimits(ConnectionLimits limits);
+
+  /// \brief Number of connections that are open, silent ones included.
+  std::size_t OpenConnections() const;
+
   /// \brief Closes idle connections; others close after their call.
   void Shutdown();
 
-  struct Impl;  ///< hidden from callers
-
  private:
-  std::shared_ptr<Impl> impl;
+  const std::shared_ptr<internal::PoolCore> core;
 };
 
 }  // namespace banyanknot::transport
--- a/src/coordination/servers/fleet_server_gate.cc
+++ b/src/coordination/servers/fleet_server_gate.cc
@@ -12,8 +12,8 @@
 constexpr int kLatencyWeight = 8;
 
 void CopyLimits(state::ServerRecord& record, const state::ServerEntry& server) {
-  record.limits = {server.domain, server.slots, server.cold_slots,
-                   server.warm_up};
+  record.limits = {server.domain, server.endpoint,   server.connections,
+                   server.slots,  server.cold_slots, server.warm_up};
 }
 
 void AddLatency(state::ServerRecord& record, state::Duration latency) {
@@ -99,7 +99,9 @@
   }
   if (owned == 0) return GateRefusal::kColdNotOwner;
   // Work from before it turned cold counts too.
-  if (record.in_flight >= owned) return GateRefusal::kColdBusy;
+  if (record.in_flight >= owned << record.ramp_step) {
+    return GateRefusal::kColdBusy;
+  }
   return std::nullopt;
 }
 
--- a/src/coordination/servers/rendezvous_cold_slot_ownership.cc
+++ b/src/coordination/servers/rendezvous_cold_slot_ownership.cc
@@ -1,29 +1,21 @@
 #include "banyanknot/coordination/servers/rendezvous_cold_slot_ownership.h"
 
-#include <xxhash.h>
-
 #include <algorithm>
 #include <string>
 #include <utility>
 
+#include "banyanknot/coordination/fleet/rendezvous.h"
+
 namespace banyanknot::coordination {
 namespace {
 
-std::uint64_t ScoreOf(const state::HostId& host, const state::ServerId& server,
-                      std::uint32_t slot) {
-  const std::string text =
-      host.Text() + "\n" + server.Text() + "\n" + std::to_string(slot);
-  return XXH3_64bits(text.data(), text.size());
-}
-
 bool IsOwner(const state::HostId& self, const std::vector<state::HostId>& hosts,
              const state::ServerId& server, std::uint32_t slot) {
-  if (std::find(hosts.begin(), hosts.end(), self) == hosts.end()) return false;
-  const std::uint64_t own = ScoreOf(self, server, slot);
-  for (const state::HostId& host : hosts) {
-    if (host != self && ScoreOf(host, server, slot) >= own) return false;
-  }
-  return true;
+  const bool is_candidate =
+      std::binary_search(hosts.begin(), hosts.end(), self);
+  return is_candidate &&
+         RendezvousRank(server.Text() + '\n' + std::to_string(slot), self,
+                        hosts) == 0;
 }
 
 }  // namespace
--- a/src/coordination/servers/server_phase_rules.cc
+++ b/src/coordination/servers/server_phase_rules.cc
@@ -24,13 +24,23 @@
   record.left_instances.push_back(instance);
 }
 
+void AddUsualLatency(state::ServerRecord& record, state::Duration latency) {
+  record.usual_latency =
+      record.usual_latency.count() == 0
+          ? latency
+          : record.usual_latency +
+                (latency - record.usual_latency) / kUsualLatencyWeight;
+}
+
 MaybePhaseChange Enter(state::ServerRecord& record, state::ServerPhase phase,
                        PhaseCause cause, state::TimePoint since) {
   const state::ServerPhase from = std::exchange(record.phase, phase);
   record.phase_since = since;
+  record.ramp_step_since = since;
   record.needs_confirmation = false;
   record.good_replies = 0;
   record.slow_replies = 0;
+  record.ramp_step = 0;
   return ServerPhaseChange{record.instance, from, phase, cause};
 }
 
@@ -46,7 +56,9 @@
   if (record.previous_sighting.instance == instance) {
     first_seen = std::min(first_seen, record.previous_sighting.first_seen);
   }
-  if (!record.instance.IsEmpty()) record.previous_sighting = record.sighting;
+  if (!record.instance.IsEmpty()) {
+    record.previous_sighting = {record.instance, record.sighting.first_seen};
+  }
   record.instance = instance;
   record.sighting = {instance, first_seen};
 }
@@ -60,6 +72,7 @@
   SwitchTo(record, instance, now);
   if (is_first && record.phase == state::ServerPhase::kUnknown) {
     record.phase_since = now;
+    record.ramp_step_since = now;
     return std::nullopt;
   }
   return Enter(record, state::ServerPhase::kCold, PhaseCause::kNewInstance,
@@ -126,6 +139,11 @@
                                                   const state::SubReply& reply,
                                                   state::Duration latency,
                                                   state::TimePoint now) const {
+  const bool is_strained =
+      IsRefusalOrFailure(reply.status) || this->IsSlow(record, latency);
+  if (is_strained && record.ramp_step > 0) {
+    return this->PresumeCold(record, PhaseCause::kStrained, now);
+  }
   if (IsRefusalOrFailure(reply.status)) record.good_replies = 0;
   if (reply.status != state::ReplyStatus::kOk) return std::nullopt;
   if (now - record.sighting.first_seen >= record.limits.warm_up) {
@@ -133,18 +151,30 @@
     return Enter(record, state::ServerPhase::kWarm, PhaseCause::kWarmUpPassed,
                  now);
   }
-  if (this->IsSlow(record, latency) || !reply.report.warm) {
+  if (is_strained || !reply.report.warm) {
     record.good_replies = 0;
     return std::nullopt;
   }
+  AddUsualLatency(record, latency);
   ++record.good_replies;
-  const bool is_proven =
+  return this->ClimbRamp(record, now);
+}
+
+MaybePhaseChange ServerPhaseRules::ClimbRamp(state::ServerRecord& record,
+                                             state::TimePoint now) const {
+  const bool is_step_done =
       record.phase == state::ServerPhase::kUnknown &&
-      record.good_replies >= this->bounds.good_replies_to_warm &&
-      now - record.phase_since >= this->bounds.least_trial;
-  if (!is_proven) return std::nullopt;
-  return Enter(record, state::ServerPhase::kWarm, PhaseCause::kRepliesInTime,
-               now);
+      record.good_replies >= this->bounds.good_replies_per_step &&
+      now - record.ramp_step_since >= this->bounds.least_step;
+  if (!is_step_done) return std::nullopt;
+  if (record.limits.cold_slots << record.ramp_step >= record.limits.slots) {
+    return Enter(record, state::ServerPhase::kWarm, PhaseCause::kRepliesInTime,
+                 now);
+  }
+  ++record.ramp_step;
+  record.ramp_step_since = now;
+  record.good_replies = 0;
+  return std::nullopt;
 }
 
 bool ServerPhaseRules::IsSlow(const state::ServerRecord& record,
@@ -161,11 +191,7 @@
   if (reply.status != state::ReplyStatus::kOk) return std::nullopt;
   if (!this->IsSlow(record, latency)) {
     record.slow_replies = 0;
-    record.usual_latency =
-        record.usual_latency.count() == 0
-            ? latency
-            : record.usual_latency +
-                  (latency - record.usual_latency) / kUsualLatencyWeight;
+    AddUsualLatency(record, latency);
     return std::nullopt;
   }
   const bool is_loaded =
--- a/src/coordination/servers/server_upkeep.cc
+++ b/src/coordination/servers/server_upkeep.cc
@@ -69,8 +69,8 @@
   const state::TimePoint now = this->clock.Now();
   MaybePhaseChange change;
   this->servers.Update(entry.id, [&](state::ServerRecord& record) {
-    record.limits = {entry.domain, entry.slots, entry.cold_slots,
-                     entry.warm_up};
+    record.limits = {entry.domain, entry.endpoint,   entry.connections,
+                     entry.slots,  entry.cold_slots, entry.warm_up};
     const bool returned = record.domain_was_out && !is_out;
     const bool relisted = !record.is_listed;
     record.domain_was_out = is_out;
--- a/src/transport/backend_http_client.cc
+++ b/src/transport/backend_http_client.cc
@@ -4,34 +4,17 @@
 #include <utility>
 
 #include "banyanknot/protocol/backend_codec.h"
+#include "transport/backend_failure_of.h"
 
 namespace banyanknot::transport {
 namespace {
 
 constexpr state::Duration kCancelTimeout = state::Milliseconds(200);
 
-coordination::BackendFailure ToBackendFailure(TransportError error) {
-  switch (error) {
-    case TransportError::kLimit:
-      return coordination::BackendFailure::kConnectionLimit;
-    case TransportError::kExpired:
-      return coordination::BackendFailure::kExpired;
-    case TransportError::kTimeout:
-      return coordination::BackendFailure::kTimeout;
-    case TransportError::kLost:
-    case TransportError::kTooLarge:
-      return coordination::BackendFailure::kLost;
-    case TransportError::kResolve:
-    case TransportError::kListen:
-    case TransportError::kConnect:
-    case TransportError::kClosed:
-      return coordination::BackendFailure::kNotSent;
-  }
-  return coordination::BackendFailure::kLost;
-}
-
 coordination::BackendResult ToBackendResult(const HttpCallResult& result) {
-  if (!state::IsOk(result)) return ToBackendFailure(state::ErrorOf(result));
+  if (!state::IsOk(result)) {
+    return internal::BackendFailureOf(state::ErrorOf(result));
+  }
   state::Result<state::SubReply, protocol::ProtocolError> reply =
       protocol::DecodeSubReply(state::ValueOf(result).body);
   if (!state::IsOk(reply)) return coordination::BackendFailure::kBadReply;
@@ -40,25 +23,6 @@
 
 }  // namespace
 
-BackendHttpClient::BackendHttpClient(boost::asio::io_context& context,
-                                     const coordination::Clock& clock,
-                                     std::size_t max_connections)
-    : context(context), clock(clock), max_connections(max_connections) {}
-
-std::shared_ptr<HttpConnectionPool> BackendHttpClient::PoolOf(
-    const state::SubRequest& request) {
-  return this->pools.Update(
-      ToText(request.endpoint),
-      [this, &request](std::shared_ptr<HttpConnectionPool>& pool) {
-        if (pool == nullptr) {
-          pool = std::make_shared<HttpConnectionPool>(
-              this->context, this->clock, request.endpoint,
-              this->max_connections);
-        }
-        return pool;
-      });
-}
-
 void BackendHttpClient::Send(const state::SubRequest& request,
                              coordination::BackendHandler handler) {
   const state::Duration remaining = request.deadline - this->clock.Now();
@@ -67,9 +31,10 @@
                   protocol::EncodeSubRequest(request, remaining)};
   call.send_before = std::min(request.send_before, request.deadline);
   call.deadline = request.deadline;
-  this->PoolOf(request)->Call(
-      std::move(call),
-      [handler = std::move(handler)](const HttpCallResult& result) {
+  call.repeatable = request.repeatable;
+  this->pools.Of(request.server, request.endpoint)
+      .requests->Call(std::move(call), [handler = std::move(handler)](
+                                           const HttpCallResult& result) {
         handler(ToBackendResult(result));
       });
 }
@@ -80,8 +45,8 @@
                   protocol::EncodeCancel(request)};
   call.deadline = this->clock.Now() + kCancelTimeout;
   call.send_before = call.deadline;
-  this->PoolOf(request)->Call(std::move(call),
-                              [](const HttpCallResult& /*result*/) {});
+  this->pools.Of(request.server, request.endpoint)
+      .control->Call(std::move(call), [](const HttpCallResult& /*result*/) {});
 }
 
 }  // namespace banyanknot::transport
--- /dev/null
+++ b/src/transport/backend_pools.cc
@@ -0,0 +1,106 @@
+#include "banyanknot/transport/backend_pools.h"
+
+#include <algorithm>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "banyanknot/protocol/backend_codec.h"
+
+namespace banyanknot::transport {
+namespace {
+
+constexpr std::size_t kMaxWaitingRequests = 256;
+constexpr std::size_t kMaxWaitingControl = 64;
+constexpr state::Duration kControlIdleLifetime = state::Milliseconds(500);
+constexpr state::Duration kNever = state::Milliseconds(86'400'000);
+
+std::string KeyOf(const state::ServerId& server,
+                  const state::Endpoint& endpoint) {
+  return server.Text() + "@" + ToText(endpoint);
+}
+
+/// A server that is not listed any more still gets what is on its way.
+ConnectionLimits ToLimits(const coordination::ConnectionShare& share) {
+  return {std::max<std::size_t>(1, share.most),
+          std::max<std::size_t>(1, share.lasting)};
+}
+
+HttpPoolOptions ControlOptions() {
+  HttpPoolOptions options;
+  options.max_waiting = kMaxWaitingControl;
+  options.idle_lifetime = kControlIdleLifetime;
+  return options;
+}
+
+}  // namespace
+
+BackendPools::BackendPools(boost::asio::io_context& context,
+                           const coordination::Clock& clock,
+                           const coordination::ConnectionShares& shares,
+                           coordination::ServerConnectionListener& listener,
+                           ConnectionChecks checks)
+    : context(context),
+      clock(clock),
+      shares(shares),
+      listener(listener),
+      checks(checks) {}
+
+ServerPools BackendPools::Of(const state::ServerId& server,
+                             const state::Endpoint& endpoint) {
+  const std::string key = KeyOf(server, endpoint);
+  const std::optional<Entry> found = this->entries.Find(key);
+  if (found) return found->pools;
+  const ServerPools opened = this->Open(server, endpoint);
+  return this->entries.Update(key, [&](Entry& entry) {
+    if (entry.pools.requests == nullptr) entry = {server, endpoint, opened};
+    return entry.pools;
+  });
+}
+
+ServerPools BackendPools::Open(const state::ServerId& server,
+                               const state::Endpoint& endpoint) const {
+  HttpPoolOptions options;
+  options.limits = ToLimits(this->shares.Of(server, endpoint));
+  options.max_waiting = kMaxWaitingRequests;
+  if (this->checks == ConnectionChecks::kSilent) {
+    options.check_target = protocol::kHealthPath;
+  } else {
+    options.silence_bound = kNever;
+  }
+  options.on_closed_by_server = [&listener = this->listener,
+                                 server](state::Duration quiet_for) {
+    listener.OnClosedByServer(server, quiet_for);
+  };
+  return {std::make_shared<HttpConnectionPool>(this->context, this->clock,
+                                               endpoint, std::move(options)),
+          std::make_shared<HttpConnectionPool>(this->context, this->clock,
+                                               endpoint, ControlOptions())};
+}
+
+void BackendPools::ApplyShares() {
+  std::vector<Entry> all;
+  this->entries.ForEach([&all](const std::string& /*key*/, const Entry& entry) {
+    all.push_back(entry);
+  });
+  for (const Entry& entry : all) {
+    const coordination::ConnectionShare share =
+        this->shares.Of(entry.server, entry.endpoint);
+    if (share.most > 0) {
+      entry.pools.requests->SetLimits(ToLimits(share));
+      continue;
+    }
+    this->entries.Take(KeyOf(entry.server, entry.endpoint));
+    entry.pools.requests->Shutdown();
+    entry.pools.control->Shutdown();
+  }
+}
+
+std::size_t BackendPools::OpenConnections(const state::ServerId& server,
+                                          const state::Endpoint& endpoint) {
+  const std::optional<Entry> found =
+      this->entries.Find(KeyOf(server, endpoint));
+  return found ? found->pools.requests->OpenConnections() : 0;
+}
+
+}  // namespace banyanknot::transport
--- /dev/null
+++ b/src/transport/client_connection.cc
@@ -0,0 +1,343 @@
+#include "transport/client_connection.h"
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+
+#include <algorithm>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/strand.hpp>
+#include <boost/beast/core.hpp>
+#include <utility>
+
+#include "transport/http_convert.h"
+
+namespace banyanknot::transport::internal {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using asio::ip::tcp;
+
+namespace {
+
+constexpr std::size_t kMaxResponseBytes = 64u << 20;
+constexpr int kUserTimeoutMilliseconds = 2'000;
+constexpr int kKeepAliveIdleSeconds = 10;
+constexpr int kKeepAliveIntervalSeconds = 2;
+constexpr int kKeepAliveProbes = 2;
+
+template <int kName>
+void SetTcpOption(tcp::socket& socket, int value) {
+  beast::error_code ignored;
+  socket.set_option(
+      asio::detail::socket_option::integer<IPPROTO_TCP, kName>(value), ignored);
+}
+
+}  // namespace
+
+ClientConnection::ClientConnection(std::shared_ptr<PoolCore> pool)
+    : pool(std::move(pool)),
+      stream(asio::make_strand(this->pool->context)),
+      timer(this->stream.get_executor()) {}
+
+bool ClientConnection::IsTrusted(state::TimePoint now) const {
+  return this->pool->options.check_target.empty() ||
+         now - this->QuietSince() <= this->pool->options.trusted_quiet;
+}
+
+void ClientConnection::Carry(std::shared_ptr<PendingCall> pending) {
+  asio::post(this->stream.get_executor(),
+             [self = this->shared_from_this(),
+              pending = std::move(pending)]() mutable {
+               self->Begin(std::move(pending));
+             });
+}
+
+void ClientConnection::Begin(std::shared_ptr<PendingCall> pending) {
+  this->current = std::move(pending);
+  if (this->is_closed) {
+    this->PassOn();
+    return;
+  }
+  this->timer.cancel();
+  if (!this->is_connected) {
+    this->Connect();
+    return;
+  }
+  beast::error_code ignored;
+  this->stream.socket().cancel(ignored);  // ends the watch while idle
+  this->CheckOrWrite();
+}
+
+void ClientConnection::Check() {
+  asio::post(this->stream.get_executor(), [self = this->shared_from_this()] {
+    if (self->is_closed) return;
+    beast::error_code ignored;
+    self->timer.cancel();
+    self->stream.socket().cancel(ignored);
+    self->WriteCheck();
+  });
+}
+
+void ClientConnection::Close() {
+  asio::post(this->stream.get_executor(),
+             [self = this->shared_from_this()] { self->CloseNow(); });
+}
+
+void ClientConnection::Connect() {
+  beast::error_code error;
+  const asio::ip::address address =
+      asio::ip::make_address(this->pool->endpoint.address, error);
+  if (error) {
+    this->FinishWith(TransportError::kResolve);
+    return;
+  }
+  this->stream.expires_at(this->current->call.send_before);
+  this->stream.async_connect(
+      tcp::endpoint(address, this->pool->endpoint.port),
+      [self =
+           this->shared_from_this()](const beast::error_code& connect_error) {
+        if (connect_error) {
+          self->FinishWith(self->ConnectError(connect_error));
+        } else {
+          self->OnConnected();
+        }
+      });
+}
+
+TransportError ClientConnection::ConnectError(
+    const beast::error_code& error) const {
+  // A server that serves other connections refuses because of its limit.
+  const bool is_refused = error == asio::error::connection_refused ||
+                          error == asio::error::connection_reset;
+  return is_refused && this->pool->HasOtherConnections()
+             ? TransportError::kLimit
+             : TransportError::kConnect;
+}
+
+void ClientConnection::OnConnected() {
+  this->is_connected = true;
+  this->SetSocketOptions();
+  if (this->IsClosedByServer()) {
+    this->FinishWith(TransportError::kLimit);
+    return;
+  }
+  // That a connection was made proves enough for a call that can be repeated;
+  // any other waits for a reply to a check.
+  if (this->current->call.repeatable) {
+    this->quiet_since = this->pool->clock.Now().time_since_epoch().count();
+  }
+  this->CheckOrWrite();
+}
+
+void ClientConnection::SetSocketOptions() {
+  tcp::socket& socket = this->stream.socket();
+  beast::error_code ignored;
+  socket.set_option(tcp::no_delay(true), ignored);
+  socket.set_option(asio::socket_base::keep_alive(true), ignored);
+  SetTcpOption<TCP_USER_TIMEOUT>(socket, kUserTimeoutMilliseconds);
+  SetTcpOption<TCP_KEEPIDLE>(socket, kKeepAliveIdleSeconds);
+  SetTcpOption<TCP_KEEPINTVL>(socket, kKeepAliveIntervalSeconds);
+  SetTcpOption<TCP_KEEPCNT>(socket, kKeepAliveProbes);
+}
+
+bool ClientConnection::IsClosedByServer() {
+  tcp::socket& socket = this->stream.socket();
+  beast::error_code error;
+  socket.non_blocking(true, error);
+  char byte = 0;
+  socket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, error);
+  // Bytes that nothing asked for are no better than a close.
+  return error != asio::error::would_block;
+}
+
+void ClientConnection::CheckOrWrite() {
+  if (this->IsClosedByServer()) {
+    this->CloseNow();
+    this->PassOn();
+    return;
+  }
+  if (this->IsTrusted(this->pool->clock.Now())) {
+    this->Write();
+  } else {
+    this->WriteCheck();
+  }
+}
+
+void ClientConnection::WriteCheck() {
+  this->request = ToBeast({"GET", this->pool->options.check_target, ""},
+                          ToText(this->pool->endpoint));
+  this->stream.expires_after(this->pool->options.check_timeout);
+  http::async_write(
+      this->stream, this->request,
+      [self = this->shared_from_this()](const beast::error_code& error,
+                                        std::size_t /*bytes*/) {
+        if (error) {
+          self->OnChecked(error);
+          return;
+        }
+        self->ReadResponse([self](const beast::error_code& read_error) {
+          self->OnChecked(read_error);
+        });
+      });
+}
+
+void ClientConnection::OnChecked(const beast::error_code& error) {
+  if (error || !this->parser->keep_alive()) {
+    this->CloseNow();
+    if (this->current != nullptr) this->PassOn();
+    return;
+  }
+  this->quiet_since = this->pool->clock.Now().time_since_epoch().count();
+  if (this->current != nullptr) {
+    this->Write();
+  } else {
+    this->Free();
+  }
+}
+
+/// Gives back a call of which nothing was written.
+void ClientConnection::PassOn() {
+  const std::shared_ptr<PendingCall> unsent = std::move(this->current);
+  if (this->pool->clock.Now() >= unsent->call.send_before) {
+    unsent->handler(TransportError::kExpired);
+  } else {
+    this->pool->Call(unsent);
+  }
+}
+
+void ClientConnection::Write() {
+  if (this->pool->clock.Now() >= this->current->call.send_before) {
+    // Nothing was written, so the connection is as good as before.
+    const std::shared_ptr<PendingCall> expired = std::move(this->current);
+    this->Free();
+    expired->handler(TransportError::kExpired);
+    return;
+  }
+  this->request = ToBeast(std::move(this->current->call.request),
+                          ToText(this->pool->endpoint));
+  this->stream.expires_at(this->current->call.deadline);
+  this->WatchSilence();
+  http::async_write(this->stream, this->request,
+                    [self = this->shared_from_this()](
+                        const beast::error_code& error, std::size_t /*bytes*/) {
+                      if (error) {
+                        self->OnRead(error);
+                      } else {
+                        self->Read();
+                      }
+                    });
+}
+
+void ClientConnection::WatchSilence() {
+  const state::TimePoint written_at = this->pool->clock.Now();
+  this->timer.expires_after(this->pool->options.silence_bound);
+  this->timer.async_wait([self = this->shared_from_this(),
+                          written_at](const beast::error_code& error) {
+    if (!error) self->OnUnanswered(written_at);
+  });
+}
+
+void ClientConnection::OnUnanswered(state::TimePoint written_at) {
+  if (this->is_closed || this->is_silent || this->current == nullptr) return;
+  this->is_silent = this->pool->OnSilence(written_at);
+}
+
+void ClientConnection::Read() {
+  this->ReadResponse(
+      [self = this->shared_from_this()](const beast::error_code& error) {
+        self->OnRead(error);
+      });
+}
+
+void ClientConnection::ReadResponse(
+    std::function<void(const beast::error_code&)> handler) {
+  this->parser.emplace();
+  this->parser->body_limit(kMaxResponseBytes);
+  http::async_read(this->stream, this->buffer, *this->parser,
+                   [handler = std::move(handler)](
+                       const beast::error_code& error, std::size_t /*bytes*/) {
+                     handler(error);
+                   });
+}
+
+void ClientConnection::OnRead(const beast::error_code& error) {
+  if (error) {
+    const bool is_silent_end =
+        error == beast::error::timeout || error == asio::error::timed_out;
+    this->FinishWith(is_silent_end ? TransportError::kTimeout
+                                   : TransportError::kLost);
+    return;
+  }
+  const state::TimePoint now = this->pool->clock.Now();
+  this->quiet_since = now.time_since_epoch().count();
+  this->pool->NoteReply(now);
+  const bool keep_alive = this->parser->keep_alive();
+  protocol::HttpResponse response = FromBeast(this->parser->release());
+  const std::shared_ptr<PendingCall> finished = std::move(this->current);
+  if (this->is_silent && this->pool->OnAnswerAfterSilence()) {
+    this->is_silent = false;
+  }
+  if (!keep_alive || this->is_silent) {
+    this->CloseNow();
+  } else {
+    this->Free();
+  }
+  finished->handler(std::move(response));
+}
+
+void ClientConnection::Free() {
+  this->timer.cancel();
+  this->stream.expires_never();
+  const std::shared_ptr<PendingCall> next =
+      this->pool->OnFree(this->shared_from_this());
+  if (next != nullptr) {
+    this->Carry(next);
+  } else {
+    this->WatchIdle();
+  }
+}
+
+void ClientConnection::WatchIdle() {
+  this->stream.socket().async_wait(
+      tcp::socket::wait_read,
+      [self = this->shared_from_this()](const beast::error_code& error) {
+        if (!error) self->OnIdleReadable();
+      });
+  this->timer.expires_after(this->pool->IdleLifetime());
+  this->timer.async_wait(
+      [self = this->shared_from_this()](const beast::error_code& error) {
+        if (!error && self->pool->TakeIdle(self)) self->CloseNow();
+      });
+}
+
+void ClientConnection::OnIdleReadable() {
+  if (this->is_closed || this->current != nullptr) return;
+  const bool was_idle = this->pool->TakeIdle(this->shared_from_this());
+  // If a call is on its way here, it finds the connection closed and goes on.
+  this->CloseNow();
+  const state::Duration quiet_for =
+      this->pool->clock.Now() - this->QuietSince();
+  if (was_idle && this->pool->options.on_closed_by_server) {
+    this->pool->options.on_closed_by_server(quiet_for);
+  }
+}
+
+void ClientConnection::FinishWith(TransportError error) {
+  const std::shared_ptr<PendingCall> finished = std::move(this->current);
+  this->CloseNow();
+  finished->handler(error);
+}
+
+void ClientConnection::CloseNow() {
+  if (this->is_closed) return;
+  this->is_closed = true;
+  beast::error_code ignored;
+  this->timer.cancel();
+  this->stream.socket().close(ignored);
+  this->pool->OnClosed(this->is_silent);
+}
+
+}  // namespace banyanknot::transport::internal
--- /dev/null
+++ b/src/transport/client_connection.h
@@ -0,0 +1,82 @@
+#ifndef BANYANKNOT_SRC_TRANSPORT_CLIENT_CONNECTION_H_
+#define BANYANKNOT_SRC_TRANSPORT_CLIENT_CONNECTION_H_
+
+#include <atomic>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http.hpp>
+#include <memory>
+#include <optional>
+
+#include "transport/pending_call.h"
+#include "transport/pool_core.h"
+
+namespace banyanknot::transport::internal {
+
+/// \brief One connection of a pool; carries one call at a time.
+///
+/// Everything but Carry(), Check(), Close() and QuietSince() runs on the
+/// connection's strand.
+class ClientConnection : public std::enable_shared_from_this<ClientConnection> {
+ public:
+  explicit ClientConnection(std::shared_ptr<PoolCore> pool);
+
+  /// \brief Carries a call; first connects, or checks, where that is needed.
+  void Carry(std::shared_ptr<PendingCall> pending);
+
+  /// \brief Checks an idle connection that was taken out of the pool.
+  void Check();
+
+  void Close();
+
+  /// \brief When the server last answered on it; any thread.
+  state::TimePoint QuietSince() const {
+    return state::TimePoint(state::Duration(this->quiet_since));
+  }
+
+  /// \brief Tells whether a call may go on it without a check; any thread.
+  bool IsTrusted(state::TimePoint now) const;
+
+ private:
+  void Begin(std::shared_ptr<PendingCall> pending);
+  void Connect();
+  void OnConnected();
+  void SetSocketOptions();
+  void CheckOrWrite();
+  void WriteCheck();
+  void OnChecked(const boost::beast::error_code& error);
+  void Write();
+  void Read();
+  void OnRead(const boost::beast::error_code& error);
+  void Free();
+  void WatchIdle();
+  void OnIdleReadable();
+  void WatchSilence();
+  void OnUnanswered(state::TimePoint written_at);
+  void PassOn();
+  void FinishWith(TransportError error);
+  void CloseNow();
+  bool IsClosedByServer();
+  TransportError ConnectError(const boost::beast::error_code& error) const;
+  void ReadResponse(
+      std::function<void(const boost::beast::error_code&)> handler);
+
+  const std::shared_ptr<PoolCore> pool;
+  boost::beast::tcp_stream stream;
+  boost::asio::steady_timer timer;
+  boost::beast::flat_buffer buffer;
+  boost::beast::http::request<boost::beast::http::string_body> request;
+  std::optional<
+      boost::beast::http::response_parser<boost::beast::http::string_body>>
+      parser;
+  std::shared_ptr<PendingCall> current;
+  std::atomic<state::Duration::rep> quiet_since{0};
+  bool is_connected = false;
+  bool is_closed = false;
+  bool is_silent = false;  // gave up its place in the pool
+};
+
+}  // namespace banyanknot::transport::internal
+
+#endif  // BANYANKNOT_SRC_TRANSPORT_CLIENT_CONNECTION_H_
--- /dev/null
+++ b/src/transport/pool_core.cc
@@ -0,0 +1,215 @@
+#include "transport/pool_core.h"
+
+#include <algorithm>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <utility>
+
+#include "banyanknot/state/util/assert.h"
+#include "transport/client_connection.h"
+
+namespace banyanknot::transport::internal {
+
+namespace asio = boost::asio;
+
+PoolCore::PoolCore(asio::io_context& context, const coordination::Clock& clock,
+                   state::Endpoint endpoint, HttpPoolOptions options)
+    : context(context),
+      clock(clock),
+      endpoint(std::move(endpoint)),
+      options(std::move(options)),
+      limits(this->options.limits) {
+  BANYANKNOT_ASSERT(this->limits.most > 0, "allow at least one connection");
+}
+
+void PoolCore::Call(std::shared_ptr<PendingCall> pending) {
+  bool is_queued = false;
+  const std::shared_ptr<ClientConnection> connection =
+      this->PickOrOpen(pending, is_queued);
+  if (connection != nullptr) {
+    connection->Carry(std::move(pending));
+    this->CheckStaleIdle();
+  } else if (is_queued) {
+    this->ExpireLater(pending);
+  } else {
+    asio::post(this->context, [pending = std::move(pending)] {
+      pending->handler(TransportError::kLimit);
+    });
+  }
+}
+
+std::shared_ptr<ClientConnection> PoolCore::PickOrOpen(
+    const std::shared_ptr<PendingCall>& pending, bool& is_queued) {
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  std::shared_ptr<ClientConnection> connection = this->PickTrustedIdle();
+  if (connection != nullptr) return connection;
+  if (this->placed < this->limits.most) {
+    ++this->placed;
+    return std::make_shared<ClientConnection>(this->shared_from_this());
+  }
+  if (!this->idle.empty()) {
+    connection = std::move(this->idle.back());
+    this->idle.pop_back();
+    return connection;  // checks itself before it carries the call
+  }
+  if (this->waiting.size() < this->options.max_waiting) {
+    this->waiting.push_back(pending);
+    is_queued = true;
+  }
+  return nullptr;
+}
+
+std::shared_ptr<ClientConnection> PoolCore::PickTrustedIdle() {
+  if (this->idle.empty()) return nullptr;
+  if (!this->idle.back()->IsTrusted(this->clock.Now())) return nullptr;
+  std::shared_ptr<ClientConnection> connection = std::move(this->idle.back());
+  this->idle.pop_back();
+  return connection;
+}
+
+void PoolCore::CheckStaleIdle() {
+  std::shared_ptr<ClientConnection> stale;
+  {
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    if (this->idle.empty()) return;
+    if (this->idle.front()->IsTrusted(this->clock.Now())) return;
+    stale = std::move(this->idle.front());
+    this->idle.erase(this->idle.begin());
+  }
+  stale->Check();
+}
+
+void PoolCore::ExpireLater(const std::shared_ptr<PendingCall>& pending) {
+  const std::shared_ptr<asio::steady_timer> timer =
+      std::make_shared<asio::steady_timer>(this->context,
+                                           pending->call.send_before);
+  timer->async_wait([self = this->shared_from_this(), timer,
+                     weak = std::weak_ptr<PendingCall>(pending)](
+                        const boost::system::error_code& error) {
+    const std::shared_ptr<PendingCall> waiting_call = weak.lock();
+    if (!error && waiting_call != nullptr) self->Expire(waiting_call);
+  });
+}
+
+void PoolCore::Expire(const std::shared_ptr<PendingCall>& pending) {
+  {
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    const auto found =
+        std::find(this->waiting.begin(), this->waiting.end(), pending);
+    if (found == this->waiting.end()) return;
+    this->waiting.erase(found);
+  }
+  pending->handler(TransportError::kLimit);
+}
+
+std::shared_ptr<PendingCall> PoolCore::OnFree(
+    const std::shared_ptr<ClientConnection>& connection) {
+  bool close = false;
+  {
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    close = this->is_shut_down || this->placed > this->limits.most;
+    if (!close && !this->waiting.empty()) {
+      std::shared_ptr<PendingCall> next = std::move(this->waiting.front());
+      this->waiting.pop_front();
+      return next;
+    }
+    if (!close) this->idle.push_back(connection);
+  }
+  if (close) connection->Close();
+  return nullptr;
+}
+
+void PoolCore::OnClosed(bool was_silent) {
+  {
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    --(was_silent ? this->silent : this->placed);
+  }
+  this->ServeWaiting();
+}
+
+void PoolCore::ServeWaiting() {
+  std::shared_ptr<PendingCall> next;
+  {
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    if (this->waiting.empty() || this->placed >= this->limits.most) return;
+    next = std::move(this->waiting.front());
+    this->waiting.pop_front();
+  }
+  this->Call(std::move(next));
+}
+
+bool PoolCore::OnSilence(state::TimePoint written_at) {
+  {
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    const bool others_answer =
+        this->placed == 1 || this->last_reply_at > written_at;
+    if (!others_answer || this->silent >= this->limits.most) return false;
+    --this->placed;
+    ++this->silent;
+  }
+  this->ServeWaiting();
+  return true;
+}
+
+bool PoolCore::OnAnswerAfterSilence() {
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  if (this->placed >= this->limits.most) return false;
+  --this->silent;
+  ++this->placed;
+  return true;
+}
+
+bool PoolCore::TakeIdle(const std::shared_ptr<ClientConnection>& connection) {
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  const auto found =
+      std::find(this->idle.begin(), this->idle.end(), connection);
+  if (found == this->idle.end()) return false;
+  this->idle.erase(found);
+  return true;
+}
+
+void PoolCore::NoteReply(state::TimePoint now) {
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  this->last_reply_at = std::max(this->last_reply_at, now);
+}
+
+bool PoolCore::HasOtherConnections() const {
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  return this->placed > 1;
+}
+
+std::size_t PoolCore::OpenConnections() const {
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  return this->placed + this->silent;
+}
+
+void PoolCore::SetLimits(ConnectionLimits limits) {
+  {
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    const bool has_grown = limits.most > this->limits.most;
+    this->limits = limits;
+    if (!has_grown) return;
+  }
+  this->ServeWaiting();
+}
+
+state::Duration PoolCore::IdleLifetime() const {
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  return this->placed > this->limits.lasting ? this->options.spare_lifetime
+                                             : this->options.idle_lifetime;
+}
+
+void PoolCore::Shutdown() {
+  std::vector<std::shared_ptr<ClientConnection>> closing;
+  {
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    this->is_shut_down = true;
+    closing.swap(this->idle);
+  }
+  for (const std::shared_ptr<ClientConnection>& connection : closing) {
+    connection->Close();
+  }
+}
+
+}  // namespace banyanknot::transport::internal
--- a/test/coordination/servers/fakes.h
+++ b/test/coordination/servers/fakes.h
@@ -8,7 +8,7 @@
 #include "banyanknot/Coordination"
 #include "coordination/support/recording_audit_sink.h"
 
-namespace banyanknot::coordination {
+namespace banyanknot::coordination::servers_test {
 
 /// \brief A clock that stands until it is moved.
 class FakeClock : public Clock {
@@ -68,6 +68,6 @@
   std::uint32_t owned = 1;
 };
 
-}  // namespace banyanknot::coordination
+}  // namespace banyanknot::coordination::servers_test
 
 #endif  // BANYANKNOT_TEST_COORDINATION_SERVERS_FAKES_H_
--- a/test/coordination/servers/fleet_server_gate_test.cc
+++ b/test/coordination/servers/fleet_server_gate_test.cc
@@ -6,7 +6,7 @@
 
 #include "coordination/servers/gate_fixture.h"
 
-namespace banyanknot::coordination {
+namespace banyanknot::coordination::servers_test {
 namespace {
 
 using state::Milliseconds;
@@ -173,4 +173,4 @@
 }
 
 }  // namespace
-}  // namespace banyanknot::coordination
+}  // namespace banyanknot::coordination::servers_test
--- a/test/coordination/servers/gate_fixture.h
+++ b/test/coordination/servers/gate_fixture.h
@@ -10,7 +10,7 @@
 #include "banyanknot/State"
 #include "coordination/servers/fakes.h"
 
-namespace banyanknot::coordination {
+namespace banyanknot::coordination::servers_test {
 
 /// \brief One host's gate over one server, driven by hand.
 struct GateFixture {
@@ -125,6 +125,6 @@
                       rendezvous, rules,  journal};
 };
 
-}  // namespace banyanknot::coordination
+}  // namespace banyanknot::coordination::servers_test
 
 #endif  // BANYANKNOT_TEST_COORDINATION_SERVERS_GATE_FIXTURE_H_
--- /dev/null
+++ b/test/transport/scripted_server.h
@@ -0,0 +1,176 @@
+#ifndef BANYANKNOT_TEST_TRANSPORT_SCRIPTED_SERVER_H_
+#define BANYANKNOT_TEST_TRANSPORT_SCRIPTED_SERVER_H_
+
+#include <atomic>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/strand.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <vector>
+
+#include "banyanknot/state/endpoint.h"
+
+namespace banyanknot::transport {
+
+/// \brief What a scripted server does with one request.
+enum class Step {
+  kAnswer,
+  kAnswerAndClose,  ///< answers with keep-alive, then closes all the same
+  kReset,           ///< closes with a reset and no answer
+  kHalfClose,       ///< closes its sending side and no answer
+  kSilent,          ///< reads and never answers
+  kGarbage,         ///< answers with bytes that are not HTTP
+  kTruncated,       ///< answers with half a response, then closes
+};
+
+/// \brief One request as a scripted server sees it.
+struct Seen {
+  int connection = 0;  ///< counts from 0
+  std::string target;
+  std::string body;
+};
+
+/// \brief Serves real sockets on loopback as a test scripts it.
+class ScriptedServer {
+ public:
+  using Script = std::function<Step(const Seen&)>;
+
+  ScriptedServer(boost::asio::io_context& context, Script script)
+      : shared(std::make_shared<Shared>(context, std::move(script))) {
+    this->shared->AcceptNext();
+  }
+  ~ScriptedServer() { this->StopListening(); }
+
+  state::Endpoint Address() const {
+    return {"127.0.0.1", this->shared->acceptor.local_endpoint().port()};
+  }
+  std::vector<Seen> Requests() const {
+    const std::lock_guard<std::mutex> lock(this->shared->mutex);
+    return this->shared->seen;
+  }
+  int Connections() const { return this->shared->connections; }
+  void StopListening() {
+    boost::system::error_code ignored;
+    this->shared->acceptor.close(ignored);
+  }
+
+ private:
+  using tcp = boost::asio::ip::tcp;
+
+  struct Shared : std::enable_shared_from_this<Shared> {
+    Shared(boost::asio::io_context& context, Script script)
+        : context(context),
+          script(std::move(script)),
+          acceptor(context, tcp::endpoint(tcp::v4(), 0)) {}
+    void AcceptNext();
+
+    boost::asio::io_context& context;
+    const Script script;
+    tcp::acceptor acceptor;
+    std::atomic<int> connections{0};
+    mutable std::mutex mutex;
+    std::vector<Seen> seen;
+  };
+
+  struct Connection : std::enable_shared_from_this<Connection> {
+    Connection(std::shared_ptr<Shared> server, tcp::socket socket, int index)
+        : server(std::move(server)), socket(std::move(socket)), index(index) {}
+    void ReadNext();
+    void Perform(Step step);
+    void WriteAndClose(const std::string& bytes);
+
+    const std::shared_ptr<Shared> server;
+    tcp::socket socket;
+    const int index;
+    boost::beast::flat_buffer buffer;
+    boost::beast::http::request<boost::beast::http::string_body> request;
+    std::string bytes;
+  };
+
+  std::shared_ptr<Shared> shared;
+};
+
+inline void ScriptedServer::Shared::AcceptNext() {
+  this->acceptor.async_accept(
+      boost::asio::make_strand(this->context),
+      [self = this->shared_from_this()](const boost::system::error_code& error,
+                                        tcp::socket socket) {
+        if (error) return;
+        std::make_shared<Connection>(self, std::move(socket),
+                                     self->connections++)
+            ->ReadNext();
+        self->AcceptNext();
+      });
+}
+
+inline void ScriptedServer::Connection::ReadNext() {
+  this->request = {};
+  boost::beast::http::async_read(
+      this->socket, this->buffer, this->request,
+      [self = this->shared_from_this()](const boost::system::error_code& error,
+                                        std::size_t /*bytes*/) {
+        if (error) return;
+        const Seen seen{self->index, std::string(self->request.target()),
+                        self->request.body()};
+        {
+          const std::lock_guard<std::mutex> lock(self->server->mutex);
+          self->server->seen.push_back(seen);
+        }
+        self->Perform(self->server->script(seen));
+      });
+}
+
+inline void ScriptedServer::Connection::Perform(Step step) {
+  const std::string answer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}";
+  boost::system::error_code ignored;
+  switch (step) {
+    case Step::kAnswer:
+      this->bytes = answer;
+      boost::asio::async_write(
+          this->socket, boost::asio::buffer(this->bytes),
+          [self = this->shared_from_this()](
+              const boost::system::error_code& error, std::size_t /*bytes*/) {
+            if (!error) self->ReadNext();
+          });
+      return;
+    case Step::kAnswerAndClose:
+      this->WriteAndClose(answer);
+      return;
+    case Step::kReset:
+      this->socket.set_option(boost::asio::socket_base::linger(true, 0),
+                              ignored);
+      this->socket.close(ignored);
+      return;
+    case Step::kHalfClose:
+      this->socket.shutdown(tcp::socket::shutdown_send, ignored);
+      this->ReadNext();
+      return;
+    case Step::kSilent:
+      this->ReadNext();
+      return;
+    case Step::kGarbage:
+      this->WriteAndClose("these bytes are not HTTP\r\n\r\n");
+      return;
+    case Step::kTruncated:
+      this->WriteAndClose(answer.substr(0, answer.size() - 1));
+      return;
+  }
+}
+
+inline void ScriptedServer::Connection::WriteAndClose(
+    const std::string& bytes) {
+  boost::system::error_code ignored;
+  boost::asio::write(this->socket, boost::asio::buffer(bytes), ignored);
+  this->socket.shutdown(tcp::socket::shutdown_both, ignored);
+  this->socket.close(ignored);
+}
+
+}  // namespace banyanknot::transport
+
+#endif  // BANYANKNOT_TEST_TRANSPORT_SCRIPTED_SERVER_H_
