--- a/test/coordination/catalogue_keeper_test.cc
+++ b/test/coordination/catalogue_keeper_test.cc
@@ -4,10 +4,10 @@
 #include <string>
 #include <vector>
 
-#include "coordination/support/line_entry_decoder.h"
-#include "coordination/support/recording_audit_sink.h"
+#include "coordination/fleet/support/line_entry_decoder.h"
+#include "coordination/fleet/support/recording_audit_sink.h"
 
-namespace banyanknot::coordination {
+namespace banyanknot::coordination::fleet_testing {
 namespace {
 
 struct Fixture {
@@ -130,4 +130,4 @@
 }
 
 }  // namespace
-}  // namespace banyanknot::coordination
+}  // namespace banyanknot::coordination::fleet_testing
--- a/test/coordination/fleet/catalogue_spread_test.cc
+++ b/test/coordination/fleet/catalogue_spread_test.cc
@@ -4,9 +4,9 @@
 #include <map>
 #include <string>
 
-#include "coordination/support/fleet_host.h"
+#include "coordination/fleet/support/fleet_host.h"
 
-namespace banyanknot::coordination {
+namespace banyanknot::coordination::fleet_testing {
 namespace {
 
 constexpr state::Duration kSettle = state::Milliseconds(10'000);
@@ -173,4 +173,4 @@
 }
 
 }  // namespace
-}  // namespace banyanknot::coordination
+}  // namespace banyanknot::coordination::fleet_testing
--- /dev/null
+++ b/test/coordination/fleet/gossip_server_note_board_test.cc
@@ -0,0 +1,101 @@
+#include "banyanknot/coordination/fleet/gossip_server_note_board.h"
+
+#include <catch2/catch.hpp>
+#include <memory>
+#include <vector>
+
+#include "coordination/fleet/support/fleet_host.h"
+
+namespace banyanknot::coordination::fleet_testing {
+namespace {
+
+class RecordingListener : public ServerNoteListener {
+ public:
+  void OnServerNote(const ServerNote& note,
+                    const state::HostId& /*from*/) override {
+    this->notes.push_back(note);
+  }
+  std::vector<ServerNote> notes;
+};
+
+ServerNote NoteOf(state::ServerPhase phase, const char* instance) {
+  return {state::ServerId("s1"), state::InstanceId(instance), phase,
+          state::Duration(0)};
+}
+
+struct Fixture {
+  Fixture(std::size_t hosts, std::uint64_t seed) : fleet(hosts, 3, seed) {
+    this->fleet.platform.Put("domain/d0", "in");
+    this->fleet.Start();
+    this->fleet.Run(state::Milliseconds(10'000));
+    for (const std::unique_ptr<FleetHost>& host : this->fleet.hosts) {
+      this->listeners.push_back(std::make_unique<RecordingListener>());
+      host->board.Subscribe(*this->listeners.back());
+    }
+  }
+  bool HasReachedOthers(std::size_t count) const {
+    for (std::size_t index = 1; index < this->listeners.size(); ++index) {
+      if (this->listeners[index]->notes.size() < count) return false;
+    }
+    return true;
+  }
+  state::Duration RunUntilReached(std::size_t count, state::Duration bound) {
+    return this->fleet.RunUntilAll(bound, [this, count](const FleetHost&) {
+      return this->HasReachedOthers(count);
+    });
+  }
+  FleetFixture fleet;
+  std::vector<std::unique_ptr<RecordingListener>> listeners;
+};
+
+TEST_CASE("A leaving server is known to all hosts within bounds") {
+  struct Case {
+    std::size_t hosts;
+    std::uint64_t loss_permille;
+    state::Duration bound;
+  };
+  const std::vector<Case> cases{{9, 0, state::Milliseconds(100)},
+                                {9, 200, state::Milliseconds(5'000)},
+                                {45, 0, state::Milliseconds(2'000)}};
+  for (const Case& item : cases) {
+    INFO(item.hosts << " hosts, loss " << item.loss_permille);
+    Fixture fixture(item.hosts, 41);
+    fixture.fleet.network.loss_permille = item.loss_permille;
+    fixture.fleet.hosts[0]->board.Publish(
+        NoteOf(state::ServerPhase::kLeaving, "i1"));
+    CHECK(fixture.RunUntilReached(1, item.bound) <= item.bound);
+  }
+}
+
+TEST_CASE("Each host is told of a phase once, and leaving is final") {
+  Fixture fixture(9, 42);
+  fixture.fleet.hosts[0]->board.Publish(
+      NoteOf(state::ServerPhase::kCold, "i1"));
+  fixture.fleet.Run(state::Milliseconds(20'000));
+  CHECK(fixture.HasReachedOthers(1));
+  fixture.fleet.hosts[3]->board.Publish(
+      NoteOf(state::ServerPhase::kLeaving, "i1"));
+  fixture.fleet.Run(state::Milliseconds(20'000));
+  fixture.fleet.hosts[5]->board.Publish(
+      NoteOf(state::ServerPhase::kWarm, "i1"));
+  fixture.fleet.Run(state::Milliseconds(20'000));
+  for (std::size_t index = 1; index < 9; ++index) {
+    if (index == 3) continue;
+    const std::vector<ServerNote>& notes = fixture.listeners[index]->notes;
+    REQUIRE(notes.size() == 2);
+    CHECK(notes[1].phase == state::ServerPhase::kLeaving);
+  }
+}
+
+TEST_CASE("A note is passed on a bounded number of times") {
+  Fixture fixture(9, 43);
+  fixture.fleet.hosts[0]->board.Publish(
+      NoteOf(state::ServerPhase::kWarm, "i1"));
+  fixture.fleet.Run(state::Milliseconds(60'000));
+  for (const std::unique_ptr<FleetHost>& host : fixture.fleet.hosts) {
+    CHECK(host->board.TakeNotes().empty());
+  }
+}
+
+}  // namespace
+}  // namespace banyanknot::coordination::fleet_testing
--- /dev/null
+++ b/test/coordination/fleet/pause_detector_test.cc
@@ -0,0 +1,109 @@
+#include "banyanknot/coordination/fleet/pause_detector.h"
+
+#include <catch2/catch.hpp>
+#include <memory>
+#include <vector>
+
+#include "coordination/fleet/support/fleet_host.h"
+
+namespace banyanknot::coordination::fleet_testing {
+namespace {
+
+constexpr state::Duration kSettle = state::Milliseconds(10'000);
+
+struct Fixture {
+  explicit Fixture(std::uint64_t seed) : fleet(9, 3, seed) {
+    this->fleet.platform.Put("domain/d0", "in");
+    this->fleet.Start();
+    this->fleet.Run(kSettle);
+  }
+  ViewTrust TrustOf(std::size_t host) {
+    return this->fleet.hosts[host]->guard.Trust();
+  }
+  FleetFixture fleet;
+};
+
+TEST_CASE("The view stays trusted while the platform or peers answer") {
+  struct Case {
+    const char* name;
+    bool is_platform_down;
+    bool are_peers_cut;
+    ViewTrust expected;
+  };
+  const std::vector<Case> cases{
+      {"all up", false, false, ViewTrust::kTrusted},
+      {"platform down", true, false, ViewTrust::kTrusted},
+      {"peers cut", false, true, ViewTrust::kTrusted},
+      {"both", true, true, ViewTrust::kOwnDomainOnly},
+  };
+  for (const Case& item : cases) {
+    INFO(item.name);
+    Fixture fixture(21);
+    fixture.fleet.platform.SetDown(item.is_platform_down);
+    if (item.are_peers_cut) fixture.fleet.CutFromPeers(1);
+    for (int step = 0; step < 600; ++step) {
+      fixture.fleet.Run(state::Milliseconds(100));
+      if (step >= 40) REQUIRE(fixture.TrustOf(1) == item.expected);
+    }
+    fixture.fleet.platform.SetDown(false);
+    fixture.fleet.Heal();
+    fixture.fleet.Run(state::Milliseconds(5'000));
+    CHECK(fixture.TrustOf(1) == ViewTrust::kTrusted);
+  }
+}
+
+TEST_CASE("A host cut off from all stops trusting its view within 3 s") {
+  Fixture fixture(22);
+  fixture.fleet.platform.SetDown(true);
+  fixture.fleet.CutFromPeers(1);
+  fixture.fleet.Run(state::Milliseconds(3'000));
+  CHECK(fixture.TrustOf(1) == ViewTrust::kOwnDomainOnly);
+}
+
+TEST_CASE("A host that wakes asks before it trusts what it knew") {
+  Fixture fixture(23);
+  FleetHost& paused = *fixture.fleet.hosts[4];
+  paused.SetPaused(true);
+  fixture.fleet.Run(state::Milliseconds(4'000));
+  fixture.fleet.platform.Put("domain/d0", "out");
+  fixture.fleet.Run(state::Milliseconds(4'000));
+  CHECK(paused.guard.Trust() == ViewTrust::kSuspect);
+  CHECK(paused.TextOf("domain/d0") == "in");
+  paused.SetPaused(false);
+  state::Duration taken{0};
+  while (!paused.guard.IsTrusted() && taken < state::Milliseconds(3'000)) {
+    fixture.fleet.Run(state::Milliseconds(10));
+    taken += state::Milliseconds(10);
+  }
+  CHECK(taken < state::Milliseconds(1'000));
+  CHECK(paused.TextOf("domain/d0") == "out");
+}
+
+TEST_CASE("A host that wakes cut off serves its own failure domain only") {
+  Fixture fixture(24);
+  FleetHost& paused = *fixture.fleet.hosts[4];
+  paused.SetPaused(true);
+  fixture.fleet.platform.SetDown(true);
+  fixture.fleet.network.is_cut = [](const state::Endpoint& /*from*/,
+                                    const state::Endpoint& /*to*/) {
+    return true;
+  };
+  fixture.fleet.Run(state::Milliseconds(5'000));
+  paused.SetPaused(false);
+  CHECK(paused.guard.Trust() == ViewTrust::kSuspect);
+  fixture.fleet.Run(state::Milliseconds(1'500));
+  CHECK(paused.guard.Trust() == ViewTrust::kOwnDomainOnly);
+}
+
+TEST_CASE("A fleet of one host trusts its view") {
+  FleetFixture fleet(1, 1, 25);
+  fleet.platform.Put("domain/d0", "in");
+  fleet.Start();
+  fleet.Run(kSettle);
+  fleet.platform.SetDown(true);
+  fleet.Run(kSettle);
+  CHECK(fleet.hosts[0]->guard.IsTrusted());
+}
+
+}  // namespace
+}  // namespace banyanknot::coordination::fleet_testing
--- a/test/coordination/support/fake_network.h
+++ b/test/coordination/fleet/support/fake_network.h
@@ -1,5 +1,5 @@
-#ifndef BANYANKNOT_TEST_COORDINATION_SUPPORT_FAKE_NETWORK_H_
-#define BANYANKNOT_TEST_COORDINATION_SUPPORT_FAKE_NETWORK_H_
+#ifndef BANYANKNOT_TEST_COORDINATION_FLEET_SUPPORT_FAKE_NETWORK_H_
+#define BANYANKNOT_TEST_COORDINATION_FLEET_SUPPORT_FAKE_NETWORK_H_
 
 #include <cstdint>
 #include <functional>
@@ -11,9 +11,9 @@
 
 #include "banyanknot/coordination/peer_link.h"
 #include "banyanknot/coordination/random_source.h"
-#include "coordination/support/virtual_time.h"
+#include "coordination/fleet/support/virtual_time.h"
 
-namespace banyanknot::coordination {
+namespace banyanknot::coordination::fleet_testing {
 
 /// \brief Carries messages between host objects of one test.
 ///
@@ -102,6 +102,6 @@
   const state::HostIdentity self;
 };
 
-}  // namespace banyanknot::coordination
+}  // namespace banyanknot::coordination::fleet_testing
 
-#endif  // BANYANKNOT_TEST_COORDINATION_SUPPORT_FAKE_NETWORK_H_
+#endif  // BANYANKNOT_TEST_COORDINATION_FLEET_SUPPORT_FAKE_NETWORK_H_
--- a/test/coordination/support/fake_platform.h
+++ b/test/coordination/fleet/support/fake_platform.h
@@ -1,5 +1,5 @@
-#ifndef BANYANKNOT_TEST_COORDINATION_SUPPORT_FAKE_PLATFORM_H_
-#define BANYANKNOT_TEST_COORDINATION_SUPPORT_FAKE_PLATFORM_H_
+#ifndef BANYANKNOT_TEST_COORDINATION_FLEET_SUPPORT_FAKE_PLATFORM_H_
+#define BANYANKNOT_TEST_COORDINATION_FLEET_SUPPORT_FAKE_PLATFORM_H_
 
 #include <cstdint>
 #include <functional>
@@ -12,9 +12,9 @@
 
 #include "banyanknot/coordination/configuration_source.h"
 #include "banyanknot/coordination/host_list_source.h"
-#include "coordination/support/virtual_time.h"
+#include "coordination/fleet/support/virtual_time.h"
 
-namespace banyanknot::coordination {
+namespace banyanknot::coordination::fleet_testing {
 
 /// \brief The platform of one test: entries by revision and a list of hosts.
 class FakePlatform {
@@ -147,28 +147,43 @@
   std::uint64_t next_watch = 0;
 };
 
-/// \brief One host's way to a FakePlatform.
+/// \brief One host's way to a FakePlatform; answers come on the host's timers.
 class FakePlatformClient : public ConfigurationSource, public HostListSource {
  public:
-  FakePlatformClient(FakePlatform& platform, state::Endpoint self)
-      : platform(platform), self(std::move(self)) {}
+  FakePlatformClient(FakePlatform& platform, const Clock& clock,
+                     TimerService& timers, state::Endpoint self)
+      : platform(platform),
+        clock(clock),
+        timers(timers),
+        self(std::move(self)) {}
 
   void Read(std::uint64_t since, RawUpdateHandler handler) override {
-    this->platform.Read(this->self, since, handler);
+    this->platform.Read(this->self, since, this->OnTimers(std::move(handler)));
   }
   void Watch(std::uint64_t since, state::Duration wait,
              RawUpdateHandler handler) override {
-    this->platform.AddWatch(this->self, since, wait, handler);
+    this->platform.AddWatch(this->self, since, wait,
+                            this->OnTimers(std::move(handler)));
   }
   void ReadHosts(HostListHandler handler) override {
-    this->platform.ReadHosts(this->self, handler);
+    this->platform.ReadHosts(this->self, this->OnTimers(std::move(handler)));
   }
 
  private:
+  template <typename Result>
+  std::function<void(Result)> OnTimers(std::function<void(Result)> handler) {
+    return [this, handler = std::move(handler)](const Result& result) {
+      this->timers.RunAt(this->clock.Now(),
+                         [handler, result] { handler(result); });
+    };
+  }
+
   FakePlatform& platform;
+  const Clock& clock;
+  TimerService& timers;
   const state::Endpoint self;
 };
 
-}  // namespace banyanknot::coordination
+}  // namespace banyanknot::coordination::fleet_testing
 
-#endif  // BANYANKNOT_TEST_COORDINATION_SUPPORT_FAKE_PLATFORM_H_
+#endif  // BANYANKNOT_TEST_COORDINATION_FLEET_SUPPORT_FAKE_PLATFORM_H_
--- a/test/coordination/support/fleet_host.h
+++ b/test/coordination/fleet/support/fleet_host.h
@@ -1,5 +1,5 @@
-#ifndef BANYANKNOT_TEST_COORDINATION_SUPPORT_FLEET_HOST_H_
-#define BANYANKNOT_TEST_COORDINATION_SUPPORT_FLEET_HOST_H_
+#ifndef BANYANKNOT_TEST_COORDINATION_FLEET_SUPPORT_FLEET_HOST_H_
+#define BANYANKNOT_TEST_COORDINATION_FLEET_SUPPORT_FLEET_HOST_H_
 
 #include <cstdint>
 #include <functional>
@@ -10,13 +10,13 @@
 
 #include "banyanknot/Coordination"
 #include "banyanknot/State"
-#include "coordination/support/fake_network.h"
-#include "coordination/support/fake_platform.h"
-#include "coordination/support/line_entry_decoder.h"
-#include "coordination/support/recording_audit_sink.h"
-#include "coordination/support/virtual_time.h"
+#include "coordination/fleet/support/fake_network.h"
+#include "coordination/fleet/support/fake_platform.h"
+#include "coordination/fleet/support/line_entry_decoder.h"
+#include "coordination/fleet/support/recording_audit_sink.h"
+#include "coordination/fleet/support/virtual_time.h"
 
-namespace banyanknot::coordination {
+namespace banyanknot::coordination::fleet_testing {
 
 /// \brief Timers of one host; while it is paused they wait.
 class PausableTimers : public TimerService {
@@ -62,7 +62,7 @@
         timers(time),
         random(seed),
         link(network, identity),
-        client(platform, identity.self.peer),
+        client(platform, time, timers, identity.self.peer),
         view(identity, hosts),
         selector(view, random),
         budget(time, RateLimits()),
@@ -229,6 +229,6 @@
   std::vector<std::unique_ptr<FleetHost>> hosts;
 };
 
-}  // namespace banyanknot::coordination
+}  // namespace banyanknot::coordination::fleet_testing
 
-#endif  // BANYANKNOT_TEST_COORDINATION_SUPPORT_FLEET_HOST_H_
+#endif  // BANYANKNOT_TEST_COORDINATION_FLEET_SUPPORT_FLEET_HOST_H_
--- a/test/coordination/support/line_entry_decoder.h
+++ b/test/coordination/fleet/support/line_entry_decoder.h
@@ -1,11 +1,11 @@
-#ifndef BANYANKNOT_TEST_COORDINATION_SUPPORT_LINE_ENTRY_DECODER_H_
-#define BANYANKNOT_TEST_COORDINATION_SUPPORT_LINE_ENTRY_DECODER_H_
+#ifndef BANYANKNOT_TEST_COORDINATION_FLEET_SUPPORT_LINE_ENTRY_DECODER_H_
+#define BANYANKNOT_TEST_COORDINATION_FLEET_SUPPORT_LINE_ENTRY_DECODER_H_
 
 #include <string>
 
 #include "banyanknot/coordination/entry_decoder.h"
 
-namespace banyanknot::coordination {
+namespace banyanknot::coordination::fleet_testing {
 
 /// \brief Reads every entry as a failure domain's, so that tests need no codec.
 ///
@@ -27,6 +27,6 @@
   }
 };
 
-}  // namespace banyanknot::coordination
+}  // namespace banyanknot::coordination::fleet_testing
 
-#endif  // BANYANKNOT_TEST_COORDINATION_SUPPORT_LINE_ENTRY_DECODER_H_
+#endif  // BANYANKNOT_TEST_COORDINATION_FLEET_SUPPORT_LINE_ENTRY_DECODER_H_
--- a/test/coordination/support/virtual_time.h
+++ b/test/coordination/fleet/support/virtual_time.h
@@ -1,5 +1,5 @@
-#ifndef BANYANKNOT_TEST_COORDINATION_SUPPORT_VIRTUAL_TIME_H_
-#define BANYANKNOT_TEST_COORDINATION_SUPPORT_VIRTUAL_TIME_H_
+#ifndef BANYANKNOT_TEST_COORDINATION_FLEET_SUPPORT_VIRTUAL_TIME_H_
+#define BANYANKNOT_TEST_COORDINATION_FLEET_SUPPORT_VIRTUAL_TIME_H_
 
 #include <cstdint>
 #include <functional>
@@ -9,7 +9,7 @@
 #include "banyanknot/coordination/clock.h"
 #include "banyanknot/coordination/timer_service.h"
 
-namespace banyanknot::coordination {
+namespace banyanknot::coordination::fleet_testing {
 
 /// \brief A clock that a test moves, and the functions due at each moment.
 ///
@@ -44,6 +44,6 @@
   std::multimap<state::TimePoint, std::function<void()>> due;
 };
 
-}  // namespace banyanknot::coordination
+}  // namespace banyanknot::coordination::fleet_testing
 
-#endif  // BANYANKNOT_TEST_COORDINATION_SUPPORT_VIRTUAL_TIME_H_
+#endif  // BANYANKNOT_TEST_COORDINATION_FLEET_SUPPORT_VIRTUAL_TIME_H_
