Let a host take the messages of its peers

Cause: the host had a link to other hosts and did not listen on it.

Change: the application constructs the router and the link, listens on the settings' peer endpoint before it takes callers, and fails to start if it can't.

--- a/daemons/host_application.cc
+++ b/daemons/host_application.cc
@@ -62,6 +62,7 @@
         threads(settings.threads),
         timers(threads.Context()),
         random(origin),
+        peer_link(threads.Context(), identity, peer_router, {}),
         platform(threads.Context(), clock, settings.platform),
         keeper(catalogue, codec, audit),
         follower(clock, timers, platform, keeper),
@@ -92,6 +93,8 @@
   transport::IoThreads threads;
   transport::AsioTimerService timers;
   coordination::SeededRandomSource random;
+  coordination::PeerRouter peer_router;
+  transport::PeerTcpLink peer_link;
   transport::PlatformHttpClient platform;
   coordination::CatalogueKeeper keeper;
   coordination::PollingCatalogueFollower follower;
@@ -112,6 +115,23 @@
 
 HostApplication::~HostApplication() { this->parts->threads.Stop(); }
 
+bool HostApplication::ListenForPeers() {
+  const state::Endpoint& endpoint = this->parts->settings.peer_listen;
+  const state::Result<std::uint16_t, transport::TransportError> port =
+      this->parts->peer_link.Listen(endpoint);
+  if (state::IsOk(port)) {
+    this->parts->log.Write(
+        coordination::EventCode::kHostListening,
+        {{"peer_port", std::to_string(state::ValueOf(port))}});
+    return true;
+  }
+  this->parts->log.Write(
+      coordination::EventCode::kListenFailed,
+      {{"address", ToText(endpoint)},
+       {"error", std::string(NameOf(state::ErrorOf(port)))}});
+  return false;
+}
+
 int HostApplication::Run() {
   this->parts->log.Write(
       coordination::EventCode::kHostStarting,
@@ -119,6 +139,7 @@
        {"domain", this->parts->settings.domain.Text()},
        {"version", BANYANKNOT_VERSION},
        {"policies", std::string(NameOf(this->parts->settings.policies))}});
+  if (!this->ListenForPeers()) return 1;
   const state::Result<std::uint16_t, transport::TransportError> port =
       this->parts->server.Listen(this->parts->settings.caller_listen);
   if (!state::IsOk(port)) {
@@ -143,6 +164,7 @@
   stopped.get_future().wait();
   this->parts->log.Write(coordination::EventCode::kHostStopping, {});
   this->parts->server.Shutdown();
+  this->parts->peer_link.Shutdown();
   this->parts->log.Write(coordination::EventCode::kHostStopped, {});
   return 0;
 }
--- a/daemons/host_application.h
+++ b/daemons/host_application.h
@@ -18,6 +18,9 @@
   int Run();
 
  private:
+  /// \returns whether other hosts can reach this one now
+  bool ListenForPeers();
+
   struct Parts;
   std::unique_ptr<Parts> parts;
 };
