Run requests that may not be repeated with tickets, at most once

Cause: callers had no way to post a swipe or a plan write.

Change: a host issues tickets from a bounded table and runs a ticket's action once: the claim is atomic, later asks wait for or are told the remembered outcome, and each outcome is final, not_run too, since a copy of the ask may still be on its way. An action goes to one replica of its key's shard and on to another only after a proven refusal. ActionForwarder takes an action to the host that issued its ticket and asks again over the lossy link; the result echoes the ticket. ActionPolicy judges what an attempt's result proves; the baseline RetryAnyFailurePolicy retries all failures. POST /v1/tickets and /v1/actions lead there, and metrics count them.

--- a/daemons/host_application.cc
+++ b/daemons/host_application.cc
@@ -7,6 +7,7 @@
 #include <future>
 #include <random>
 
+#include "action_parts.h"
 #include "banyanknot/Coordination"
 #include "banyanknot/Protocol"
 #include "banyanknot/Transport"
@@ -73,9 +74,12 @@
                  server_parts.Gate()),
         executor(origin, clock, timers, backend, catalogue,
                  policies.ForQueries(), counters),
+        actions(identity, DrawOrigin(), clock, timers, random, backend,
+                catalogue, hosts, policies.ForQueries().selector,
+                server_parts.Gate(), peer_link),
         operators(identity, clock, catalogue, hosts, servers, executor,
-                  follower, audit, {&query_metrics}),
-        service(clock, executor, query_metrics, operators),
+                  follower, audit, {&query_metrics, &actions.metrics}),
+        service(clock, executor, query_metrics, operators, actions.service),
         server(threads.Context(), service, {protocol::kMaxCallerRequestBytes}) {
   }
 
@@ -105,6 +109,7 @@
   HostPolicies policies;
   coordination::QueryExecutor executor;
   coordination::QueryMetrics query_metrics;
+  ActionParts actions;
   OperatorService operators;
   HostService service;
   transport::HttpServer server;
@@ -139,6 +144,7 @@
        {"domain", this->parts->settings.domain.Text()},
        {"version", BANYANKNOT_VERSION},
        {"policies", std::string(NameOf(this->parts->settings.policies))}});
+  this->parts->peer_router.Add(&this->parts->actions.forwarder);
   if (!this->ListenForPeers()) return 1;
   const state::Result<std::uint16_t, transport::TransportError> port =
       this->parts->server.Listen(this->parts->settings.caller_listen);
@@ -155,6 +161,7 @@
   std::printf("{\"caller_port\":%u}\n", state::ValueOf(port));
   std::fflush(stdout);
   this->parts->follower.Start();
+  this->parts->actions.executor.Start();
   this->parts->server_parts.Start();
   std::promise<void> stopped;
   boost::asio::signal_set signals(this->parts->threads.Context(), SIGTERM,
--- a/daemons/host_service.cc
+++ b/daemons/host_service.cc
@@ -16,11 +16,13 @@
 HostService::HostService(const coordination::Clock& clock,
                          coordination::QueryExecutor& executor,
                          coordination::QueryMetrics& metrics,
-                         const OperatorService& operators)
+                         const OperatorService& operators,
+                         ActionService& actions)
     : clock(clock),
       executor(executor),
       metrics(metrics),
-      operators(operators) {}
+      operators(operators),
+      actions(actions) {}
 
 void HostService::Handle(std::shared_ptr<transport::HttpExchange> exchange) {
   const protocol::HttpRequest& request = exchange->Request();
@@ -45,7 +47,7 @@
     const std::shared_ptr<transport::HttpExchange>& exchange) {
   if (exchange->Request().target == protocol::kQueryPath) {
     this->HandleQuery(exchange);
-  } else {
+  } else if (!this->actions.Handle(exchange)) {
     exchange->Respond({kHttpNotFound, R"({"error":"no such path"})"});
   }
 }
--- a/daemons/host_service.h
+++ b/daemons/host_service.h
@@ -3,6 +3,7 @@
 
 #include <memory>
 
+#include "action_service.h"
 #include "banyanknot/Coordination"
 #include "banyanknot/transport/http_server.h"
 #include "operator_service.h"
@@ -15,7 +16,7 @@
   HostService(const coordination::Clock& clock,
               coordination::QueryExecutor& executor,
               coordination::QueryMetrics& metrics,
-              const OperatorService& operators);
+              const OperatorService& operators, ActionService& actions);
   void Handle(std::shared_ptr<transport::HttpExchange> exchange) override;
 
  private:
@@ -26,6 +27,7 @@
   coordination::QueryExecutor& executor;
   coordination::QueryMetrics& metrics;
   const OperatorService& operators;
+  ActionService& actions;
 };
 
 }  // namespace banyanknot::daemons
--- /dev/null
+++ b/include/banyanknot/coordination/actions/action_forwarder.h
@@ -0,0 +1,69 @@
+#ifndef BANYANKNOT_COORDINATION_ACTIONS_ACTION_FORWARDER_H_
+#define BANYANKNOT_COORDINATION_ACTIONS_ACTION_FORWARDER_H_
+
+#include <atomic>
+#include <cstddef>
+#include <cstdint>
+
+#include "banyanknot/coordination/actions/action_executor.h"
+#include "banyanknot/coordination/clock.h"
+#include "banyanknot/coordination/peer_link.h"
+#include "banyanknot/coordination/timer_service.h"
+#include "banyanknot/state/catalogue_table.h"
+#include "banyanknot/state/host_record.h"
+#include "banyanknot/state/sharded_table.h"
+
+namespace banyanknot::coordination {
+
+/// \brief Takes actions to the host that issued their tickets.
+///
+/// Thread-safe. Asks again over a lossy link until there is a result or the
+/// deadline passes; the ticket keeps that from running it twice. It never says
+/// `not_run` by itself: what it sent may arrive late.
+class ActionForwarder : public PeerHandler {
+ public:
+  ActionForwarder(const state::HostIdentity& identity, const Clock& clock,
+                  TimerService& timers, PeerLink& link,
+                  const state::HostTable& hosts,
+                  const state::CatalogueTable& catalogue,
+                  ActionExecutor& executor);
+
+  /// \brief Runs an action here or at the host of its ticket.
+  /// \param handler called exactly once, possibly before Run() returns, at the
+  ///     latest soon after the deadline
+  void Run(const state::Action& action, ActionHandler handler);
+
+  /// \brief Takes actions that other hosts pass on, and results of ours.
+  void OnPeerMessage(const PeerEnvelope& envelope) override;
+
+  /// \brief Number of actions that wait for another host's result.
+  std::size_t Pending() const { return this->calls.Size(); }
+
+ private:
+  struct Call {
+    state::Action action;
+    state::Endpoint endpoint;
+    state::TimePoint deadline;
+    ActionHandler handler;
+  };
+
+  void Forward(const state::Action& action, ActionHandler handler);
+  state::Duration AllowedFor(const state::Action& action) const;
+  void SendCall(std::uint64_t number, state::Duration resend_delay);
+  void OnAction(const state::HostId& from, const PeerAction& message);
+  void OnResult(const state::HostId& from, const PeerActionResult& message);
+
+  const state::HostIdentity identity;
+  const Clock& clock;
+  TimerService& timers;
+  PeerLink& link;
+  const state::HostTable& hosts;
+  const state::CatalogueTable& catalogue;
+  ActionExecutor& executor;
+  std::atomic<std::uint64_t> next_number;
+  state::ShardedTable<std::uint64_t, Call> calls;
+};
+
+}  // namespace banyanknot::coordination
+
+#endif  // BANYANKNOT_COORDINATION_ACTIONS_ACTION_FORWARDER_H_
--- /dev/null
+++ b/include/banyanknot/coordination/actions/action_policy.h
@@ -0,0 +1,22 @@
+#ifndef BANYANKNOT_COORDINATION_ACTIONS_ACTION_POLICY_H_
+#define BANYANKNOT_COORDINATION_ACTIONS_ACTION_POLICY_H_
+
+#include "banyanknot/coordination/actions/action_verdict.h"
+#include "banyanknot/coordination/backend_client.h"
+#include "banyanknot/state/sub_request.h"
+
+namespace banyanknot::coordination {
+
+/// \brief Decides what the result of one attempt proves.
+///
+/// Thread-safe and pure.
+class ActionPolicy {
+ public:
+  virtual ~ActionPolicy() = default;
+  virtual ActionVerdict Judge(const state::SubRequest& sent,
+                              const BackendResult& result) const = 0;
+};
+
+}  // namespace banyanknot::coordination
+
+#endif  // BANYANKNOT_COORDINATION_ACTIONS_ACTION_POLICY_H_
--- /dev/null
+++ b/include/banyanknot/coordination/actions/retry_any_failure_policy.h
@@ -0,0 +1,18 @@
+#ifndef BANYANKNOT_COORDINATION_ACTIONS_RETRY_ANY_FAILURE_POLICY_H_
+#define BANYANKNOT_COORDINATION_ACTIONS_RETRY_ANY_FAILURE_POLICY_H_
+
+#include "banyanknot/coordination/actions/action_policy.h"
+
+namespace banyanknot::coordination {
+
+/// \brief Takes every failure for a refusal: the baseline, which runs actions
+/// twice.
+class RetryAnyFailurePolicy : public ActionPolicy {
+ public:
+  ActionVerdict Judge(const state::SubRequest& sent,
+                      const BackendResult& result) const override;
+};
+
+}  // namespace banyanknot::coordination
+
+#endif  // BANYANKNOT_COORDINATION_ACTIONS_RETRY_ANY_FAILURE_POLICY_H_
--- /dev/null
+++ b/include/banyanknot/coordination/actions/ticket_claim.h
@@ -0,0 +1,39 @@
+#ifndef BANYANKNOT_COORDINATION_ACTIONS_TICKET_CLAIM_H_
+#define BANYANKNOT_COORDINATION_ACTIONS_TICKET_CLAIM_H_
+
+#include <array>
+#include <string_view>
+
+#include "banyanknot/state/action.h"
+#include "banyanknot/state/enum_names.h"
+
+namespace banyanknot::coordination {
+
+/// \brief What an ask with a ticket comes to.
+enum class ClaimKind {
+  kStarted,   ///< the first ask: whoever claimed it must run it
+  kJoined,    ///< it runs already: the ask waits for the outcome
+  kAnswered,  ///< there is a reply already; nothing runs for this ask
+};
+
+/// \brief Names of ClaimKind, as they stand in messages and logs.
+inline constexpr std::array<state::EnumName<ClaimKind>, 3> kClaimKindNames{{
+    {ClaimKind::kStarted, "started"},
+    {ClaimKind::kJoined, "joined"},
+    {ClaimKind::kAnswered, "answered"},
+}};
+
+/// \brief Returns the name of a ClaimKind.
+constexpr std::string_view NameOf(ClaimKind value) {
+  return state::FindName(kClaimKindNames, value);
+}
+
+/// \brief Result of TicketTable::Claim().
+struct TicketClaim {
+  ClaimKind kind = ClaimKind::kAnswered;
+  state::ActionReply reply;  ///< only for kAnswered
+};
+
+}  // namespace banyanknot::coordination
+
+#endif  // BANYANKNOT_COORDINATION_ACTIONS_TICKET_CLAIM_H_
--- a/include/banyanknot/coordination/peer_message.h
+++ b/include/banyanknot/coordination/peer_message.h
@@ -123,6 +123,7 @@
 /// \brief Tells how a PeerAction ended.
 struct PeerActionResult {
   std::uint64_t call = 0;
+  state::Ticket ticket;
   state::ActionReply reply;
 };
 
--- a/src/protocol/peer_generated.h
+++ b/src/protocol/peer_generated.h
@@ -1663,7 +1663,8 @@
     VT_OUTCOME = 6,
     VT_REASON = 8,
     VT_RECORDS = 10,
-    VT_RETRY_AFTER_NS = 12
+    VT_RETRY_AFTER_NS = 12,
+    VT_TICKET = 14
   };
   uint64_t call() const {
     return GetField<uint64_t>(VT_CALL, 0);
@@ -1680,6 +1681,9 @@
   int64_t retry_after_ns() const {
     return GetField<int64_t>(VT_RETRY_AFTER_NS, 0);
   }
+  const flatbuffers::String *ticket() const {
+    return GetPointer<const flatbuffers::String *>(VT_TICKET);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_CALL, 8) &&
@@ -1691,6 +1695,8 @@
            verifier.VerifyVector(records()) &&
            verifier.VerifyVectorOfTables(records()) &&
            VerifyField<int64_t>(verifier, VT_RETRY_AFTER_NS, 8) &&
+           VerifyOffset(verifier, VT_TICKET) &&
+           verifier.VerifyString(ticket()) &&
            verifier.EndTable();
   }
 };
@@ -1714,6 +1720,9 @@
   void add_retry_after_ns(int64_t retry_after_ns) {
     fbb_.AddElement<int64_t>(ActionResult::VT_RETRY_AFTER_NS, retry_after_ns, 0);
   }
+  void add_ticket(flatbuffers::Offset<flatbuffers::String> ticket) {
+    fbb_.AddOffset(ActionResult::VT_TICKET, ticket);
+  }
   explicit ActionResultBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1731,10 +1740,12 @@
     flatbuffers::Offset<flatbuffers::String> outcome = 0,
     flatbuffers::Offset<flatbuffers::String> reason = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<banyanknot::protocol::wire::Record>>> records = 0,
-    int64_t retry_after_ns = 0) {
+    int64_t retry_after_ns = 0,
+    flatbuffers::Offset<flatbuffers::String> ticket = 0) {
   ActionResultBuilder builder_(_fbb);
   builder_.add_retry_after_ns(retry_after_ns);
   builder_.add_call(call);
+  builder_.add_ticket(ticket);
   builder_.add_records(records);
   builder_.add_reason(reason);
   builder_.add_outcome(outcome);
@@ -1747,17 +1758,20 @@
     const char *outcome = nullptr,
     const char *reason = nullptr,
     const std::vector<flatbuffers::Offset<banyanknot::protocol::wire::Record>> *records = nullptr,
-    int64_t retry_after_ns = 0) {
+    int64_t retry_after_ns = 0,
+    const char *ticket = nullptr) {
   auto outcome__ = outcome ? _fbb.CreateString(outcome) : 0;
   auto reason__ = reason ? _fbb.CreateString(reason) : 0;
   auto records__ = records ? _fbb.CreateVector<flatbuffers::Offset<banyanknot::protocol::wire::Record>>(*records) : 0;
+  auto ticket__ = ticket ? _fbb.CreateString(ticket) : 0;
   return banyanknot::protocol::wire::CreateActionResult(
       _fbb,
       call,
       outcome__,
       reason__,
       records__,
-      retry_after_ns);
+      retry_after_ns,
+      ticket__);
 }
 
 struct Envelope FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/src/protocol/peer_reader.cc
+++ b/src/protocol/peer_reader.cc
@@ -124,9 +124,13 @@
     const wire::ActionResult& result) {
   const std::optional<state::Outcome> outcome =
       state::FindValue(state::kOutcomeNames, Read(result.outcome()));
+  const std::optional<state::Ticket> ticket =
+      state::TicketFromText(Read(result.ticket()));
+  if (!ticket) return std::nullopt;
   // An outcome that only later releases know proves nothing.
   return coordination::PeerActionResult{
       result.call(),
+      *ticket,
       {outcome.value_or(state::Outcome::kUnknown), Read(result.reason()),
        ReadAll(result.records(), &ReadRecord),
        state::Duration(result.retry_after_ns())}};
--- a/src/protocol/peer_writer.cc
+++ b/src/protocol/peer_writer.cc
@@ -189,11 +189,12 @@
   const state::ActionReply& reply = message.reply;
   const Text outcome = this->Write(NameOf(reply.outcome));
   const Text reason = this->Write(reply.reason);
+  const Text ticket = this->Write(ToText(message.ticket));
   const Tables<wire::Record> records =
       this->WriteAll<wire::Record>(reply.records);
   return {wire::Body_ActionResult,
           wire::CreateActionResult(this->builder, message.call, outcome, reason,
-                                   records, reply.retry_after.count())
+                                   records, reply.retry_after.count(), ticket)
               .Union()};
 }
 
