--- a/test/coordination/actions/ticket_table_test.cc
+++ b/test/coordination/actions/ticket_table_test.cc
@@ -1,8 +1,10 @@
 #include "banyanknot/coordination/actions/ticket_table.h"
 
+#include <atomic>
 #include <catch2/catch.hpp>
 #include <functional>
 #include <string>
+#include <thread>
 #include <vector>
 
 #include "coordination/actions/action_world.h"
@@ -93,6 +95,32 @@
   CHECK(later.reply.records.size() == 1);
 }
 
+TEST_CASE("Threads that claim one ticket at once start one run") {
+  constexpr std::size_t kTickets = 200;
+  constexpr std::uint64_t kThreads = 8;
+  TicketLimits limits;
+  limits.max_waiters = kThreads;
+  TableFixture fixture(limits);
+  std::vector<state::Ticket> tickets;
+  for (std::size_t index = 0; index < kTickets; ++index) {
+    tickets.push_back(fixture.Issue());
+  }
+  std::atomic<std::size_t> started{0};
+  std::vector<std::thread> threads;
+  for (std::uint64_t number = 0; number < kThreads; ++number) {
+    threads.emplace_back([&, number] {
+      for (const state::Ticket& ticket : tickets) {
+        const TicketClaim claim = fixture.table.Claim(
+            ActionWith(ticket), {state::HostId("h1"), number},
+            [](const state::ActionReply&) {});
+        if (claim.kind == ClaimKind::kStarted) ++started;
+      }
+    });
+  }
+  for (std::thread& thread : threads) thread.join();
+  CHECK(started == kTickets);
+}
+
 TEST_CASE("Every outcome is final, not_run too") {
   for (const state::EnumName<state::Outcome>& row : state::kOutcomeNames) {
     INFO(row.name);
