--- a/daemons/host_application.cc
+++ b/daemons/host_application.cc
@@ -7,6 +7,7 @@
 #include <future>
 #include <random>
 
+#include "action_parts.h"
 #include "banyanknot/Coordination"
 #include "banyanknot/Protocol"
 #include "banyanknot/Transport"
@@ -69,6 +70,7 @@
         threads(settings.threads),
         timers(threads.Context()),
         random(origin),
+        peer_link(threads.Context(), identity, peer_router, {}),
         platform(threads.Context(), clock, settings.platform),
         keeper(catalogue, codec, audit),
         follower(clock, timers, platform, keeper),
@@ -88,9 +90,12 @@
                  server_parts.Gate()),
         executor(origin, clock, timers, backend, catalogue,
                  policies.ForQueries(), counters),
+        actions(identity, DrawOrigin(), clock, timers, random, backend,
+                catalogue, hosts, policies.ForQueries().selector,
+                server_parts.Gate(), peer_link),
         operators(identity, clock, catalogue, hosts, servers, executor,
-                  follower, audit, {&query_metrics}),
-        service(clock, executor, query_metrics, operators),
+                  follower, audit, {&query_metrics, &actions.metrics}),
+        service(clock, executor, query_metrics, operators, actions.service),
         server(threads.Context(), service, {protocol::kMaxCallerRequestBytes}) {
   }
 
@@ -108,6 +113,8 @@
   transport::IoThreads threads;
   transport::AsioTimerService timers;
   coordination::SeededRandomSource random;
+  coordination::PeerRouter peer_router;
+  transport::PeerTcpLink peer_link;
   transport::PlatformHttpClient platform;
   coordination::CatalogueKeeper keeper;
   coordination::PollingCatalogueFollower follower;
@@ -121,6 +128,7 @@
   HostPolicies policies;
   coordination::QueryExecutor executor;
   coordination::QueryMetrics query_metrics;
+  ActionParts actions;
   OperatorService operators;
   HostService service;
   transport::HttpServer server;
@@ -131,6 +139,23 @@
 
 HostApplication::~HostApplication() { this->parts->threads.Stop(); }
 
+bool HostApplication::ListenForPeers() {
+  const state::Endpoint& endpoint = this->parts->settings.peer_listen;
+  const state::Result<std::uint16_t, transport::TransportError> port =
+      this->parts->peer_link.Listen(endpoint);
+  if (state::IsOk(port)) {
+    this->parts->log.Write(
+        coordination::EventCode::kHostListening,
+        {{"peer_port", std::to_string(state::ValueOf(port))}});
+    return true;
+  }
+  this->parts->log.Write(
+      coordination::EventCode::kListenFailed,
+      {{"address", ToText(endpoint)},
+       {"error", std::string(NameOf(state::ErrorOf(port)))}});
+  return false;
+}
+
 int HostApplication::Run() {
   this->parts->log.Write(
       coordination::EventCode::kHostStarting,
@@ -138,6 +163,8 @@
        {"domain", this->parts->settings.domain.Text()},
        {"version", BANYANKNOT_VERSION},
        {"policies", std::string(NameOf(this->parts->settings.policies))}});
+  this->parts->peer_router.Add(&this->parts->actions.forwarder);
+  if (!this->ListenForPeers()) return 1;
   const state::Result<std::uint16_t, transport::TransportError> port =
       this->parts->server.Listen(this->parts->settings.caller_listen);
   if (!state::IsOk(port)) {
@@ -153,6 +180,7 @@
   std::printf("{\"caller_port\":%u}\n", state::ValueOf(port));
   std::fflush(stdout);
   this->parts->follower.Start();
+  this->parts->actions.executor.Start();
   this->parts->server_parts.Start();
   this->parts->ApplySharesRegularly();
   this->parts->prober.Start();
@@ -164,6 +192,7 @@
   stopped.get_future().wait();
   this->parts->log.Write(coordination::EventCode::kHostStopping, {});
   this->parts->server.Shutdown();
+  this->parts->peer_link.Shutdown();
   this->parts->log.Write(coordination::EventCode::kHostStopped, {});
   return 0;
 }
