Add the fault proxy and let the platform stand-in fail

Cause: faults between real processes could not be made. Change: fault_proxy delays, drops, resets, blackholes open connections, cuts pairs of failure domains and crosses responses; Deployment can put it before backend servers, platform and peers, and finds a connection's failure domain by the process that holds its socket. standin_platform caps and counts reads, lags its host list, and refuses, hangs, is stale or contradicts itself.

--- a/standins/deployment.cc
+++ b/standins/deployment.cc
@@ -18,6 +18,9 @@
 constexpr state::Duration kCallTimeout = state::Milliseconds(5'000);
 constexpr std::chrono::milliseconds kReadyPoll(20);
 constexpr unsigned kHttpOk = 200;
+constexpr std::size_t kProxyThreads = 2;
+constexpr std::uint64_t kProxySeed = 1;
+const char* const kPlatformDomain = "platform";
 const char* const kAddress = "127.0.0.1";
 
 json ReadFile(const std::string& file) {
@@ -46,8 +49,16 @@
   return plan;
 }
 
+ProxyParts::ProxyParts()
+    : threads(kProxyThreads),
+      random(kProxySeed),
+      proxy(threads.Context(), locator, random) {}
+
+ProxyParts::~ProxyParts() { this->threads.Stop(); }
+
 Deployment::Deployment(DeploymentPlan plan)
     : plan(std::move(plan)), client(kCallTimeout) {
+  if (this->plan.use_proxy) this->proxy = std::make_unique<ProxyParts>();
   for (json& server : this->plan.backends["servers"]) server["port"] = 0;
 }
 
@@ -103,12 +114,40 @@
   for (auto& [key, entry] : this->plan.catalogue.items()) {
     if (!entry.contains("servers")) continue;
     for (json& server : entry["servers"]) {
+      const std::string id = server.value("id", "");
       server["address"] = kAddress;
-      server["port"] = ports.value(server.value("id", ""), 0);
+      server["port"] =
+          this->RoutePort({"server/" + id,
+                           "",
+                           server.value("domain", ""),
+                           {kAddress, ports.value(id, std::uint16_t{0})},
+                           0});
     }
   }
 }
 
+FaultProxy& Deployment::Proxy() {
+  BANYANKNOT_ASSERT(this->proxy != nullptr, "ask for the proxy in the plan");
+  return this->proxy->proxy;
+}
+
+std::uint16_t Deployment::RoutePort(const ProxyRoute& route) {
+  if (this->proxy == nullptr) return route.target.port;
+  const state::Result<std::uint16_t, transport::TransportError> port =
+      this->proxy->proxy.AddRoute(route);
+  return state::IsOk(port) ? state::ValueOf(port) : std::uint16_t{0};
+}
+
+state::Endpoint Deployment::PlatformFor(const std::string& domain) {
+  const auto found = this->platform_routes.find(domain);
+  if (found != this->platform_routes.end()) return found->second;
+  state::Endpoint endpoint{
+      kAddress, this->RoutePort({"platform/" + domain, domain, kPlatformDomain,
+                                 this->platform, 0})};
+  this->platform_routes[domain] = endpoint;
+  return endpoint;
+}
+
 std::string Deployment::StartPlatform() {
   this->platform_process = std::make_unique<ChildProcess>(
       this->Program("standin_platform"),
@@ -129,6 +168,8 @@
     host.domain = listed.value("domain", "");
     host.caller = {kAddress, this->free_ports.Take()};
     host.peer = {kAddress, this->free_ports.Take()};
+    this->peer_routes[host.id] =
+        this->RoutePort({"peer/" + host.id, "", host.domain, host.peer, 0});
     this->hosts.push_back(std::move(host));
   }
   if (!this->PublishHosts({})) return "platform took no host list";
@@ -139,7 +180,7 @@
     settings["caller_listen"] = ToJson(host.caller);
     settings["peer_listen"] = ToJson(host.peer);
     if (!settings.contains("platform")) {
-      settings["platform"] = ToJson(this->platform);
+      settings["platform"] = ToJson(this->PlatformFor(host.domain));
     }
     host.settings_file = this->WriteFile(host.id, settings);
     if (!this->StartHost(host)) {
@@ -159,6 +200,9 @@
       this->Program("banyanknot_host"),
       std::vector<std::string>{"--settings=" + host.settings_file},
       this->folder.Path() + "/errors");
+  if (this->proxy != nullptr) {
+    this->proxy->locator.SetProcess(host.process->Pid(), host.domain);
+  }
   return host.process->ReadJsonLine(kStartBound).has_value();
 }
 
@@ -212,7 +256,7 @@
     list.push_back({{"id", host.id},
                     {"domain", host.domain},
                     {"address", kAddress},
-                    {"peer_port", host.peer.port},
+                    {"peer_port", this->peer_routes.at(host.id)},
                     {"caller_port", host.caller.port},
                     {"leaving", is_leaving}});
   }
--- a/standins/deployment.h
+++ b/standins/deployment.h
@@ -1,6 +1,7 @@
 #ifndef BANYANKNOT_STANDINS_DEPLOYMENT_H_
 #define BANYANKNOT_STANDINS_DEPLOYMENT_H_
 
+#include <map>
 #include <memory>
 #include <nlohmann/json.hpp>
 #include <string>
@@ -9,6 +10,7 @@
 #include "banyanknot/state/endpoint.h"
 #include "blocking_http_client.h"
 #include "child_process.h"
+#include "fault_proxy.h"
 #include "free_ports.h"
 #include "temporary_folder.h"
 
@@ -21,6 +23,8 @@
   nlohmann::json backends;       ///< `{"defaults", "servers"}`
   nlohmann::json hosts;          ///< `{"hosts": [{"id", "domain", ...}]}`
   nlohmann::json host_settings;  ///< members put into every host's settings
+  bool use_proxy = false;        ///< puts a FaultProxy before all but hosts'
+                                 ///< caller ports
 };
 
 /// \brief Reads a plan from a folder such as examples/mantaro.
@@ -37,6 +41,17 @@
   std::unique_ptr<ChildProcess> process;
 };
 
+/// \brief A FaultProxy and what it runs on.
+struct ProxyParts {
+  ProxyParts();
+  ~ProxyParts();
+
+  transport::IoThreads threads;
+  ProcessSourceLocator locator;
+  coordination::SeededRandomSource random;
+  FaultProxy proxy;
+};
+
 /// \brief A platform, backend servers and entry hosts, as real processes on
 /// loopback, on free ports; all end with this object.
 ///
@@ -87,6 +102,11 @@
   bool ChangePlatform(const std::string& target, const nlohmann::json& value);
   BlockingHttpClient& Client() { return this->client; }
 
+  /// \brief The proxy; its routes are `server/ID`, `platform/DOMAIN` and
+  /// `peer/HOST`, its domains those of the hosts and `platform`.
+  /// \pre the plan asks for it
+  FaultProxy& Proxy();
+
   /// \brief The last lines that processes wrote to standard error.
   std::string Errors() const;
 
@@ -98,6 +118,8 @@
   nlohmann::json HostListJson(const std::vector<std::string>& leaving) const;
   std::string WriteFile(const std::string& name, const nlohmann::json& value);
   std::string Program(const std::string& name) const;
+  std::uint16_t RoutePort(const ProxyRoute& route);
+  state::Endpoint PlatformFor(const std::string& domain);
 
   DeploymentPlan plan;
   TemporaryFolder folder;
@@ -105,6 +127,9 @@
   BlockingHttpClient client;
   state::Endpoint backend_admin;
   state::Endpoint platform;
+  std::unique_ptr<ProxyParts> proxy;
+  std::map<std::string, state::Endpoint> platform_routes;  // by domain
+  std::map<std::string, std::uint16_t> peer_routes;        // by host
   std::unique_ptr<ChildProcess> backend_process;
   std::unique_ptr<ChildProcess> platform_process;
   std::vector<DeployedHost> hosts;
--- a/standins/platform_service.h
+++ b/standins/platform_service.h
@@ -3,6 +3,7 @@
 
 #include <memory>
 #include <mutex>
+#include <nlohmann/json.hpp>
 #include <string>
 #include <vector>
 
@@ -10,13 +11,19 @@
 #include "banyanknot/coordination/timer_service.h"
 #include "banyanknot/transport/http_server.h"
 #include "catalogue_store.h"
+#include "lagging_host_list.h"
+#include "platform_mode.h"
+#include "read_meter.h"
 
 namespace banyanknot::standins {
 
-/// \brief Serves a small stand-in of the platform.
+/// \brief Stands in for the platform.
 ///
-/// `GET /v1/entries?since=R[&wait_ms=T]`, `GET /v1/hosts`, and for tests
-/// `PUT|DELETE /admin/entries/KEY`, `PUT /admin/hosts`.
+/// `GET /v1/entries?since=R[&wait_ms=T]` and `GET /v1/hosts`, each counted
+/// against the cap; a waiting watch counts once. For tests
+/// `PUT|DELETE /admin/entries/KEY`, `PUT /admin/hosts`,
+/// `PUT /admin/mode {"mode", "stale_revision", "host_lag_ms"}` and
+/// `GET /admin/counters`.
 class PlatformService : public transport::HttpHandler {
  public:
   PlatformService(const coordination::Clock& clock,
@@ -27,22 +34,33 @@
   void SetHosts(const std::string& text);
 
  private:
+  using Exchange = std::shared_ptr<transport::HttpExchange>;
   struct Watcher {
-    std::shared_ptr<transport::HttpExchange> exchange;
+    Exchange exchange;
     std::uint64_t since = 0;
   };
 
-  void HandleEntries(const std::shared_ptr<transport::HttpExchange>& exchange);
-  void HandleAdmin(const std::shared_ptr<transport::HttpExchange>& exchange);
+  void HandleRead(const Exchange& exchange);
+  void HandleEntries(const Exchange& exchange);
+  void HandleAdmin(const Exchange& exchange);
+  void HandleAdminEntry(const Exchange& exchange);
+  bool ChangeMode(const std::string& body);
+  coordination::RawUpdate UpdateSince(std::uint64_t since);
+  void Answer(const Watcher& watcher);
   void AnswerWatchers();
-  void EndWatch(const std::shared_ptr<transport::HttpExchange>& exchange);
+  void EndWatch(const Exchange& exchange);
+  std::string CountersText();
 
   const coordination::Clock& clock;
   coordination::TimerService& timers;
   CatalogueStore& store;
   std::mutex mutex;
+  PlatformMode mode = PlatformMode::kUp;
+  std::uint64_t stale_revision = 0;
+  ReadMeter meter;
+  LaggingHostList hosts;
   std::vector<Watcher> watchers;
-  std::string hosts = R"({"hosts":[]})";
+  std::vector<Exchange> hanging;
 };
 
 }  // namespace banyanknot::standins
