Test the promises with real processes behind the fault proxy

Cause: nothing tested the whole under faults. Change: integration tests start a platform, backend servers and three hosts, offer load and check every answer while the platform fails, a failure domain is cut off, connections go silent, replies are crossed or reset, hosts stop, pause or die, and servers turn cold, leave, shed or change versions. Tests named in KNOWN-RED.txt are passed over and printed.

--- /dev/null
+++ b/test/integration/loaded_deployment.h
@@ -0,0 +1,49 @@
+#ifndef BANYANKNOT_TEST_INTEGRATION_LOADED_DEPLOYMENT_H_
+#define BANYANKNOT_TEST_INTEGRATION_LOADED_DEPLOYMENT_H_
+
+#include <functional>
+#include <string>
+
+#include "deployment.h"
+#include "load_generator.h"
+#include "plan_shape.h"
+
+namespace banyanknot::integration {
+
+/// \brief A small deployment behind the fault proxy, under load.
+class LoadedDeployment {
+ public:
+  LoadedDeployment() : LoadedDeployment(DefaultShape()) {}
+  explicit LoadedDeployment(const standins::PlanShape& shape);
+
+  /// \brief Three failure domains with a host each, and one service with
+  /// queries and actions.
+  static standins::PlanShape DefaultShape();
+
+  standins::Deployment& Fleet() { return this->deployment; }
+  standins::FaultProxy& Proxy() { return this->deployment.Proxy(); }
+
+  /// \brief Waits until so many more requests were answered.
+  /// \returns false if they were not within a generous bound
+  bool WaitForAnswers(std::uint64_t count);
+
+  /// \brief Stops the load.
+  /// \returns its report, the actions checked against what was run
+  standins::LoadReport Finish();
+
+  /// \brief Sum of a counter over the stand-ins of a failure domain.
+  std::uint64_t CounterIn(const std::string& domain, const char* counter);
+  std::uint64_t CounterOf(const std::string& server, const char* counter);
+
+ private:
+  standins::Deployment deployment;
+  standins::LoadGenerator load;
+};
+
+/// \brief Asks again and again until `condition` holds.
+/// \returns false if it does not within `bound`
+bool WaitUntil(const std::function<bool()>& condition, state::Duration bound);
+
+}  // namespace banyanknot::integration
+
+#endif  // BANYANKNOT_TEST_INTEGRATION_LOADED_DEPLOYMENT_H_
--- a/tools/test.sh
+++ b/tools/test.sh
@@ -12,3 +12,4 @@
 "$root/tools/check_generated.sh"
 "$root/tools/lint.sh"
 ctest --test-dir "${BUILD_DIR:-$root/build}/test" --output-on-failure
+grep '^test: ' "$root/KNOWN-RED.txt" | sed 's/^test:/known red, passed over:/' || true
