--- a/src/coordination/query/query_executor.cc
+++ b/src/coordination/query/query_executor.cc
@@ -45,6 +45,11 @@
   answer.outcome = refusal->outcome;
   answer.reason = refusal->reason;
   answer.retry_after = refusal->retry_after;
+  const state::Result<ShardMap::Pointer, ShardMapFault> map =
+      this->maps.Find(query.service);
+  if (state::IsOk(map)) {
+    answer.missing = {state::ValueOf(map)->Service().key_space};
+  }
   handler(std::move(answer));
   return id;
 }
