--- a/standins/answer_checker.cc
+++ b/standins/answer_checker.cc
@@ -98,6 +98,8 @@
     checked = CheckCoverage(item, answer);
   }
   checked.outcome = name;
+  const std::string reason = answer.value("reason", "");
+  if (!reason.empty()) checked.outcome += ": " + reason;
   if (checked.verdict == Verdict::kWrong) return checked;
   if (outcome == state::Outcome::kNotRun) checked.verdict = Verdict::kNotRun;
   if (outcome != state::Outcome::kOk) return checked;
--- a/standins/answer_checker.h
+++ b/standins/answer_checker.h
@@ -32,7 +32,7 @@
 struct CheckedAnswer {
   Verdict verdict = Verdict::kUnknown;
   double coverage = 0;    ///< said and proven
-  std::string outcome;    ///< as the host said it
+  std::string outcome;    ///< and its reason, as the host said them
   std::string complaint;  ///< what is wrong; empty unless kWrong
 };
 
