--- a/test/coordination/servers/fakes.h
+++ b/test/coordination/servers/fakes.h
@@ -6,7 +6,7 @@
 #include <vector>
 
 #include "banyanknot/Coordination"
-#include "coordination/support/recording_audit_sink.h"
+#include "coordination/fleet/support/recording_audit_sink.h"
 
 namespace banyanknot::coordination::servers_test {
 
