Wire the fleet's parts into the host and stop it gracefully

Cause: the daemon kept notes and catalogue to itself, and ended at once on SIGTERM. A test also showed that the bytes a seed host sends grew with the fleet: every host pinged the seeds at a fixed rate.

Change: FleetParts constructs membership, spread, notes, follower and guard; StopSequence leaves by phases, a second signal or the fleet policy's bound ends it with exit status 1 and the log says what was left. /ready follows StartReadiness, which waits for peers or the platform, and says which. A host pings the seeds less often the more hosts it knows. The test support's audit sink is shared again with that of the server tests.

--- a/daemons/host_application.cc
+++ b/daemons/host_application.cc
@@ -1,15 +1,19 @@
 #include "host_application.h"
 
+#include <atomic>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <csignal>
 #include <cstdio>
+#include <functional>
 #include <future>
 #include <random>
+#include <utility>
 
 #include "banyanknot/Coordination"
 #include "banyanknot/Protocol"
 #include "banyanknot/Transport"
+#include "fleet_parts.h"
 #include "host_policies.h"
 #include "host_service.h"
 #include "server_parts.h"
@@ -31,13 +35,6 @@
                                     : protocol::EncodeTextLogLine;
 }
 
-/// Keeps notes of backend servers to this host.
-class LocalServerNoteBoard : public coordination::ServerNoteBoard {
- public:
-  void Publish(const coordination::ServerNote& /*note*/) override {}
-  void Subscribe(coordination::ServerNoteListener& /*listener*/) override {}
-};
-
 state::HostIdentity IdentityOf(const HostSettings& settings,
                                const coordination::WallClock& wall_clock) {
   state::HostIdentity identity;
@@ -50,6 +47,53 @@
   return identity;
 }
 
+constexpr state::Duration kGoodbyeSpread = state::Milliseconds(500);
+
+/// Carries out the stop of this process's parts.
+class ProcessStopTarget : public coordination::StopTarget {
+ public:
+  using StoppedHandler =
+      std::function<void(coordination::StopPhase, std::size_t)>;
+
+  ProcessStopTarget(coordination::Membership& membership,
+                    const coordination::QueryExecutor& executor,
+                    transport::HttpServer& server)
+      : membership(membership), executor(executor), server(server) {}
+
+  /// \brief Sets what is told of the end; before the stop begins.
+  void OnEnd(StoppedHandler handler) { this->handler = std::move(handler); }
+
+  void SayGoodbye() override { this->membership.SayGoodbye(kGoodbyeSpread); }
+  void StopAccepting() override { this->server.Shutdown(); }
+  std::size_t InFlight() const override {
+    return this->executor.InFlight() + this->server.Connections();
+  }
+  void OnStopped(coordination::StopPhase phase, std::size_t left) override {
+    if (this->handler) this->handler(phase, left);
+  }
+
+ private:
+  coordination::Membership& membership;
+  const coordination::QueryExecutor& executor;
+  transport::HttpServer& server;
+  StoppedHandler handler;
+};
+
+/// Asks a StopSequence whether the host is ready once there is one.
+class LateReadiness : public coordination::Readiness {
+ public:
+  void Set(const coordination::Readiness& readiness) {
+    this->readiness = &readiness;
+  }
+  bool IsReady() const override {
+    const coordination::Readiness* current = this->readiness;
+    return current != nullptr && current->IsReady();
+  }
+
+ private:
+  std::atomic<const coordination::Readiness*> readiness{nullptr};
+};
+
 }  // namespace
 
 struct HostApplication::Parts {
@@ -64,18 +108,28 @@
         random(origin),
         platform(threads.Context(), clock, settings.platform),
         keeper(catalogue, codec, audit),
-        follower(clock, timers, platform, keeper),
+        link(threads.Context(), identity, router, transport::PeerLinkLimits()),
+        fleet(settings.policies, clock, timers, random, identity,
+              settings.seed_peers, link, platform, platform, catalogue, hosts,
+              keeper, audit),
         backend(threads.Context(), clock, kConnectionsPerServer),
         server_parts(settings.policies, clock, timers, random, catalogue,
-                     servers, hosts, identity, audit, board),
+                     servers, hosts, identity, audit, fleet.board),
         policies(settings.policies, clock, random, catalogue, servers,
                  server_parts.Gate()),
         executor(origin, clock, timers, backend, catalogue,
                  policies.ForQueries(), counters),
         operators(identity, clock, catalogue, hosts, servers, executor,
-                  follower, audit, {&query_metrics}),
+                  readiness, audit, {&query_metrics}),
         service(clock, executor, query_metrics, operators),
-        server(threads.Context(), service, {protocol::kMaxCallerRequestBytes}) {
+        server(threads.Context(), service, {protocol::kMaxCallerRequestBytes}),
+        stop_target(fleet.membership, executor, server),
+        stop(settings.id, clock, timers, catalogue, fleet.readiness,
+             stop_target, audit) {
+    for (coordination::PeerHandler* handler : this->fleet.Handlers()) {
+      this->router.Add(handler);
+    }
+    this->readiness.Set(this->stop);
   }
 
   transport::SteadyClock clock;
@@ -94,17 +148,21 @@
   coordination::SeededRandomSource random;
   transport::PlatformHttpClient platform;
   coordination::CatalogueKeeper keeper;
-  coordination::PollingCatalogueFollower follower;
+  coordination::PeerRouter router;
+  transport::PeerTcpLink link;
+  FleetParts fleet;
   transport::BackendHttpClient backend;
-  LocalServerNoteBoard board;
   ServerParts server_parts;
   state::QueryCounters counters;
   HostPolicies policies;
   coordination::QueryExecutor executor;
   coordination::QueryMetrics query_metrics;
+  LateReadiness readiness;
   OperatorService operators;
   HostService service;
   transport::HttpServer server;
+  ProcessStopTarget stop_target;
+  coordination::StopSequence stop;
 };
 
 HostApplication::HostApplication(const HostSettings& settings)
@@ -112,39 +170,78 @@
 
 HostApplication::~HostApplication() { this->parts->threads.Stop(); }
 
-int HostApplication::Run() {
-  this->parts->log.Write(
-      coordination::EventCode::kHostStarting,
-      {{"host", this->parts->settings.id.Text()},
-       {"domain", this->parts->settings.domain.Text()},
-       {"version", BANYANKNOT_VERSION},
-       {"policies", std::string(NameOf(this->parts->settings.policies))}});
+bool HostApplication::Listen() {
+  const state::Result<std::uint16_t, transport::TransportError> peer_port =
+      this->parts->link.Listen(this->parts->settings.peer_listen);
+  if (!state::IsOk(peer_port)) {
+    this->LogListenFailure(this->parts->settings.peer_listen,
+                           std::string(NameOf(state::ErrorOf(peer_port))));
+    return false;
+  }
   const state::Result<std::uint16_t, transport::TransportError> port =
       this->parts->server.Listen(this->parts->settings.caller_listen);
   if (!state::IsOk(port)) {
-    this->parts->log.Write(
-        coordination::EventCode::kListenFailed,
-        {{"address", ToText(this->parts->settings.caller_listen)},
-         {"error", std::string(NameOf(state::ErrorOf(port)))}});
-    return 1;
+    this->LogListenFailure(this->parts->settings.caller_listen,
+                           std::string(NameOf(state::ErrorOf(port))));
+    return false;
   }
   this->parts->log.Write(
       coordination::EventCode::kHostListening,
-      {{"caller_port", std::to_string(state::ValueOf(port))}});
+      {{"caller_port", std::to_string(state::ValueOf(port))},
+       {"peer_port", std::to_string(state::ValueOf(peer_port))}});
   std::printf("{\"caller_port\":%u}\n", state::ValueOf(port));
   std::fflush(stdout);
-  this->parts->follower.Start();
-  this->parts->server_parts.Start();
-  std::promise<void> stopped;
+  return true;
+}
+
+void HostApplication::LogListenFailure(const state::Endpoint& endpoint,
+                                       const std::string& error) {
+  this->parts->log.Write(coordination::EventCode::kListenFailed,
+                         {{"address", ToText(endpoint)}, {"error", error}});
+}
+
+int HostApplication::RunUntilStopped() {
+  std::promise<std::pair<coordination::StopPhase, std::size_t>> ended;
+  this->parts->stop_target.OnEnd(
+      [&ended](coordination::StopPhase phase, std::size_t left) {
+        ended.set_value({phase, left});
+      });
   boost::asio::signal_set signals(this->parts->threads.Context(), SIGTERM,
                                   SIGINT);
-  signals.async_wait([&stopped](const boost::system::error_code& /*error*/,
-                                int /*number*/) { stopped.set_value(); });
-  stopped.get_future().wait();
-  this->parts->log.Write(coordination::EventCode::kHostStopping, {});
-  this->parts->server.Shutdown();
+  signals.async_wait(
+      [this, &signals](const boost::system::error_code& error, int /*number*/) {
+        if (error) return;
+        this->parts->log.Write(coordination::EventCode::kHostStopping, {});
+        this->parts->stop.Begin();
+        signals.async_wait([this](const boost::system::error_code& second_error,
+                                  int /*second_number*/) {
+          if (!second_error) this->parts->stop.Abort();
+        });
+      });
+  const std::pair<coordination::StopPhase, std::size_t> end =
+      ended.get_future().get();
+  if (end.first == coordination::StopPhase::kForced) {
+    this->parts->log.Write(coordination::EventCode::kHostStopForced,
+                           {{"left", std::to_string(end.second)}});
+    return 1;
+  }
   this->parts->log.Write(coordination::EventCode::kHostStopped, {});
   return 0;
 }
 
+int HostApplication::Run() {
+  this->parts->log.Write(
+      coordination::EventCode::kHostStarting,
+      {{"host", this->parts->settings.id.Text()},
+       {"domain", this->parts->settings.domain.Text()},
+       {"version", BANYANKNOT_VERSION},
+       {"policies", std::string(NameOf(this->parts->settings.policies))}});
+  if (!this->Listen()) return 1;
+  this->parts->fleet.Start();
+  this->parts->server_parts.Start();
+  const int status = this->RunUntilStopped();
+  this->parts->link.Shutdown();
+  return status;
+}
+
 }  // namespace banyanknot::daemons
--- a/daemons/host_application.h
+++ b/daemons/host_application.h
@@ -2,6 +2,7 @@
 #define BANYANKNOT_DAEMONS_HOST_APPLICATION_H_
 
 #include <memory>
+#include <string>
 
 #include "host_settings.h"
 
@@ -13,11 +14,17 @@
   explicit HostApplication(const HostSettings& settings);
   ~HostApplication();
 
-  /// \brief Serves until SIGTERM or SIGINT.
-  /// \returns the exit status of the process
+  /// \brief Serves until SIGTERM or SIGINT, then stops gracefully; a second
+  /// signal ends it at once.
+  /// \returns the exit status of the process; 1 if work was left
   int Run();
 
  private:
+  bool Listen();
+  void LogListenFailure(const state::Endpoint& endpoint,
+                        const std::string& error);
+  int RunUntilStopped();
+
   struct Parts;
   std::unique_ptr<Parts> parts;
 };
--- a/daemons/operator_service.cc
+++ b/daemons/operator_service.cc
@@ -63,7 +63,7 @@
     const state::CatalogueTable& catalogue, const state::HostTable& hosts,
     const state::ServerTable& servers,
     const coordination::QueryExecutor& executor,
-    const coordination::CatalogueFollower& follower,
+    const coordination::Readiness& readiness,
     const coordination::AuditTrail& audit,
     std::vector<const coordination::MetricSource*> metrics)
     : identity(std::move(identity)),
@@ -73,7 +73,7 @@
       hosts(hosts),
       servers(servers),
       executor(executor),
-      follower(follower),
+      readiness(readiness),
       audit(audit),
       metrics(std::move(metrics)) {}
 
@@ -84,7 +84,7 @@
     return protocol::HttpResponse{200, R"({"live":true})"};
   }
   if (path == protocol::kReadyPath) {
-    const bool is_ready = this->follower.HasRead();
+    const bool is_ready = this->readiness.IsReady();
     return protocol::HttpResponse{
         is_ready ? 200 : kHttpUnavailable,
         is_ready ? R"({"ready":true})" : R"({"ready":false})"};
@@ -107,7 +107,7 @@
   report.identity = this->identity;
   report.version = BANYANKNOT_VERSION;
   report.uptime = this->clock.Now() - this->started_at;
-  report.is_ready = this->follower.HasRead();
+  report.is_ready = this->readiness.IsReady();
   report.queries_in_flight = this->executor.InFlight();
   report.catalogue = this->catalogue.All();
   this->hosts.ForEach(
--- a/daemons/operator_service.h
+++ b/daemons/operator_service.h
@@ -22,7 +22,7 @@
                   const state::HostTable& hosts,
                   const state::ServerTable& servers,
                   const coordination::QueryExecutor& executor,
-                  const coordination::CatalogueFollower& follower,
+                  const coordination::Readiness& readiness,
                   const coordination::AuditTrail& audit,
                   std::vector<const coordination::MetricSource*> metrics);
 
@@ -43,7 +43,7 @@
   const state::HostTable& hosts;
   const state::ServerTable& servers;
   const coordination::QueryExecutor& executor;
-  const coordination::CatalogueFollower& follower;
+  const coordination::Readiness& readiness;
   const coordination::AuditTrail& audit;
   const std::vector<const coordination::MetricSource*> metrics;
 };
--- /dev/null
+++ b/include/banyanknot/coordination/readiness.h
@@ -0,0 +1,17 @@
+#ifndef BANYANKNOT_COORDINATION_READINESS_H_
+#define BANYANKNOT_COORDINATION_READINESS_H_
+
+namespace banyanknot::coordination {
+
+/// \brief Tells whether callers should be sent to this host.
+///
+/// Thread-safe.
+class Readiness {
+ public:
+  virtual ~Readiness() = default;
+  virtual bool IsReady() const = 0;
+};
+
+}  // namespace banyanknot::coordination
+
+#endif  // BANYANKNOT_COORDINATION_READINESS_H_
--- a/src/coordination/fleet/membership.cc
+++ b/src/coordination/fleet/membership.cc
@@ -83,7 +83,10 @@
     }
   }
   if (lost.empty()) {
-    this->PingSeeds();
+    // All hosts together ping each seed at a rate that the fleet's size does
+    // not change.
+    const std::size_t known = this->view.ReachableHosts().size();
+    if (this->random.Below(known + 1) < this->seeds.size()) this->PingSeeds();
     return;
   }
   const state::HostRecord& host = lost[this->random.Below(lost.size())];
--- /dev/null
+++ b/src/coordination/fleet/stop_sequence.cc
@@ -0,0 +1,88 @@
+#include "banyanknot/coordination/fleet/stop_sequence.h"
+
+#include <utility>
+
+namespace banyanknot::coordination {
+namespace {
+
+constexpr state::Duration kCheckInterval = state::Milliseconds(20);
+
+}  // namespace
+
+StopSequence::StopSequence(state::HostId self, const Clock& clock,
+                           TimerService& timers,
+                           const state::CatalogueTable& catalogue,
+                           const Readiness& start, StopTarget& target,
+                           AuditSink& audit)
+    : self(std::move(self)),
+      clock(clock),
+      timers(timers),
+      catalogue(catalogue),
+      start(start),
+      target(target),
+      audit(audit) {}
+
+bool StopSequence::IsReady() const {
+  return this->phase == StopPhase::kServing && this->start.IsReady();
+}
+
+bool StopSequence::Move(StopPhase from, StopPhase to,
+                        const std::string& detail) {
+  StopPhase expected = from;
+  if (!this->phase.compare_exchange_strong(expected, to)) return false;
+  this->audit.Append({AuditKind::kHostLifecycle, this->self.Text(), 0, "", 0,
+                      "local",
+                      std::string(NameOf(from)) + " to " +
+                          std::string(NameOf(to)) + ": " + detail});
+  return true;
+}
+
+void StopSequence::Begin() {
+  const state::FleetPolicy policy = this->catalogue.FindFleetPolicy();
+  if (!this->Move(StopPhase::kServing, StopPhase::kLeaving,
+                  "a stop was asked for")) {
+    return;
+  }
+  this->target.SayGoodbye();
+  const state::TimePoint now = this->clock.Now();
+  this->timers.RunAt(now + policy.leave_grace,
+                     [this] { this->StopAccepting(); });
+  this->timers.RunAt(now + policy.stop_bound,
+                     [this] { this->Force("the bound of the stop came"); });
+}
+
+void StopSequence::StopAccepting() {
+  if (!this->Move(StopPhase::kLeaving, StopPhase::kFinishing,
+                  "the balancer has had its time")) {
+    return;
+  }
+  this->target.StopAccepting();
+  this->CheckFinished();
+}
+
+void StopSequence::CheckFinished() {
+  if (this->phase != StopPhase::kFinishing) return;
+  if (this->target.InFlight() > 0) {
+    this->timers.RunAt(this->clock.Now() + kCheckInterval,
+                       [this] { this->CheckFinished(); });
+    return;
+  }
+  if (this->Move(StopPhase::kFinishing, StopPhase::kStopped,
+                 "everything is finished")) {
+    this->target.OnStopped(StopPhase::kStopped, 0);
+  }
+}
+
+void StopSequence::Abort() { this->Force("a second stop was asked for"); }
+
+void StopSequence::Force(const std::string& reason) {
+  const std::size_t left = this->target.InFlight();
+  const std::string detail =
+      reason + "; " + std::to_string(left) + " still in flight";
+  const bool is_forced =
+      this->Move(StopPhase::kLeaving, StopPhase::kForced, detail) ||
+      this->Move(StopPhase::kFinishing, StopPhase::kForced, detail);
+  if (is_forced) this->target.OnStopped(StopPhase::kForced, left);
+}
+
+}  // namespace banyanknot::coordination
--- a/test/coordination/catalogue_keeper_test.cc
+++ b/test/coordination/catalogue_keeper_test.cc
@@ -5,7 +5,7 @@
 #include <vector>
 
 #include "coordination/fleet/support/line_entry_decoder.h"
-#include "coordination/fleet/support/recording_audit_sink.h"
+#include "coordination/support/recording_audit_sink.h"
 
 namespace banyanknot::coordination::fleet_testing {
 namespace {
--- a/test/coordination/fleet/support/fleet_host.h
+++ b/test/coordination/fleet/support/fleet_host.h
@@ -13,8 +13,8 @@
 #include "coordination/fleet/support/fake_network.h"
 #include "coordination/fleet/support/fake_platform.h"
 #include "coordination/fleet/support/line_entry_decoder.h"
-#include "coordination/fleet/support/recording_audit_sink.h"
 #include "coordination/fleet/support/virtual_time.h"
+#include "coordination/support/recording_audit_sink.h"
 
 namespace banyanknot::coordination::fleet_testing {
 
--- a/test/coordination/fleet/support/recording_audit_sink.h
+++ b/test/coordination/support/recording_audit_sink.h
@@ -1,5 +1,5 @@
-#ifndef BANYANKNOT_TEST_COORDINATION_FLEET_SUPPORT_RECORDING_AUDIT_SINK_H_
-#define BANYANKNOT_TEST_COORDINATION_FLEET_SUPPORT_RECORDING_AUDIT_SINK_H_
+#ifndef BANYANKNOT_TEST_COORDINATION_SUPPORT_RECORDING_AUDIT_SINK_H_
+#define BANYANKNOT_TEST_COORDINATION_SUPPORT_RECORDING_AUDIT_SINK_H_
 
 #include <cstddef>
 #include <mutex>
@@ -8,7 +8,7 @@
 
 #include "banyanknot/coordination/audit_sink.h"
 
-namespace banyanknot::coordination::fleet_testing {
+namespace banyanknot::coordination {
 
 /// \brief Keeps audit events for a test to look at.
 class RecordingAuditSink : public AuditSink {
@@ -36,6 +36,6 @@
   std::vector<AuditEvent> events;
 };
 
-}  // namespace banyanknot::coordination::fleet_testing
+}  // namespace banyanknot::coordination
 
-#endif  // BANYANKNOT_TEST_COORDINATION_FLEET_SUPPORT_RECORDING_AUDIT_SINK_H_
+#endif  // BANYANKNOT_TEST_COORDINATION_SUPPORT_RECORDING_AUDIT_SINK_H_
