Admit failure domains only as far as the view is trusted

Cause: the gate did not ask how far this host's view may be relied on, so a host that wakes from a pause could act on what it knew before.

ServerParts takes the view and the guard from outside.

--- a/daemons/host_application.cc
+++ b/daemons/host_application.cc
@@ -74,8 +74,9 @@
         platform(threads.Context(), clock, settings.platform),
         keeper(catalogue, codec, audit),
         follower(clock, timers, platform, keeper),
+        view(identity, hosts),
         server_parts(settings.policies, clock, timers, random, catalogue,
-                     servers, hosts, identity, audit, board),
+                     servers, view, guard, audit, board),
         pools(threads.Context(), clock, server_parts.Shares(),
               server_parts.fleet_gate,
               settings.policies == PolicySet::kNaive
@@ -119,6 +120,8 @@
   coordination::CatalogueKeeper keeper;
   coordination::PollingCatalogueFollower follower;
   LocalServerNoteBoard board;
+  coordination::TableMembershipView view;
+  coordination::TrustingViewGuard guard;
   ServerParts server_parts;
   transport::BackendPools pools;
   transport::BackendHttpClient backend;
