--- a/bench/decision_cost_bench.cc
+++ b/bench/decision_cost_bench.cc
@@ -15,25 +15,32 @@
 constexpr std::uint64_t kSnapshot = 5;
 constexpr std::uint64_t kKeysPerShard = 1'000;
 
+/// What a reply has to echo.
+struct Call {
+  state::RequestId request;
+  std::uint32_t attempt = 0;
+  std::uint32_t shard = 0;
+  std::uint64_t snapshot = 0;
+  state::KeyRange range;
+  BackendHandler handler;
+};
+
 /// Keeps what one thread is sent until that thread answers it.
 class ThreadBackend : public BackendClient {
  public:
   void Send(const state::SubRequest& request, BackendHandler handler) override {
-    waiting.emplace_back(request, std::move(handler));
+    waiting.push_back({request.request, request.attempt, request.shard,
+                       request.snapshot, request.range, std::move(handler)});
   }
   void Cancel(const state::SubRequest& /*request*/) override {}
 
-  static std::vector<std::pair<state::SubRequest, BackendHandler>>& Waiting() {
-    return waiting;
-  }
+  static std::vector<Call>& Waiting() { return waiting; }
 
  private:
-  static thread_local std::vector<std::pair<state::SubRequest, BackendHandler>>
-      waiting;
+  static thread_local std::vector<Call> waiting;
 };
 
-thread_local std::vector<std::pair<state::SubRequest, BackendHandler>>
-    ThreadBackend::waiting;
+thread_local std::vector<Call> ThreadBackend::waiting;
 
 class DiscardingTimers : public TimerService {
  public:
@@ -138,7 +145,7 @@
 
 void TearDown(const benchmark::State& /*state*/) { host.reset(); }
 
-state::SubReply MakeReply(const state::SubRequest& request) {
+state::SubReply MakeReply(const Call& request) {
   state::SubReply reply;
   reply.request = request.request;
   reply.attempt = request.attempt;
@@ -159,6 +166,7 @@
   query.service = state::ServiceId("plans");
   query.deadline = state::Milliseconds(5'000);
   query.ask = R"({"parcel":12})";
+  std::vector<Call> calls;
   std::size_t answered = 0;
   std::size_t refused = 0;
   while (state.KeepRunning()) {
@@ -169,9 +177,9 @@
         ++refused;
       }
     });
-    std::vector<std::pair<state::SubRequest, BackendHandler>> calls;
     calls.swap(ThreadBackend::Waiting());
-    for (const auto& [request, handler] : calls) handler(MakeReply(request));
+    for (const Call& call : calls) call.handler(MakeReply(call));
+    calls.clear();
   }
   const double sub_requests =
       static_cast<double>(answered) * static_cast<double>(state.range(0));
--- a/include/banyanknot/state/key_range_set.h
+++ b/include/banyanknot/state/key_range_set.h
@@ -2,7 +2,6 @@
 #define BANYANKNOT_STATE_KEY_RANGE_SET_H_
 
 #include <cstdint>
-#include <map>
 #include <vector>
 
 #include "banyanknot/state/key_range.h"
@@ -27,12 +26,12 @@
   std::uint64_t Size() const;
 
   /// \brief The ranges of the set, in order.
-  std::vector<KeyRange> Ranges() const;
+  const std::vector<KeyRange>& Ranges() const { return this->ranges; }
 
-  void Clear() { this->ends.clear(); }
+  void Clear() { this->ranges.clear(); }
 
  private:
-  std::map<std::uint64_t, std::uint64_t> ends;  // end of each range, by begin
+  std::vector<KeyRange> ranges;  // in key order; a gap lies between any two
 };
 
 }  // namespace banyanknot::state
--- a/src/coordination/query/load_aware_replica_selector.cc
+++ b/src/coordination/query/load_aware_replica_selector.cc
@@ -1,6 +1,7 @@
 #include "banyanknot/coordination/query/load_aware_replica_selector.h"
 
 #include <algorithm>
+#include <boost/container/small_vector.hpp>
 #include <cstddef>
 #include <utility>
 
@@ -18,6 +19,10 @@
   double cost = 0;
 };
 
+// Few shards have more replicas; no allocation for those that do not.
+constexpr std::size_t kUsualReplicas = 4;
+using RankedServers = boost::container::small_vector<Ranked, kUsualReplicas>;
+
 bool IsClearlyBetter(const Ranked& left, const Ranked& right) {
   if (left.score.tier != right.score.tier) {
     return left.score.tier < right.score.tier;
@@ -42,7 +47,7 @@
   return ranked;
 }
 
-void SetCosts(std::vector<Ranked>& ranked) {
+void SetCosts(RankedServers& ranked) {
   double least_latency = 0;
   for (const Ranked& item : ranked) {
     const double latency = item.score.latency_ms;
@@ -66,7 +71,7 @@
     std::vector<const state::ServerEntry*>& candidates) {
   if (candidates.size() < 2) return;
   const state::TimePoint now = this->clock.Now();
-  std::vector<Ranked> ranked;
+  RankedServers ranked;
   ranked.reserve(candidates.size());
   for (const state::ServerEntry* server : candidates) {
     ranked.push_back(ScoreServer(this->servers, *server, now));
--- a/src/state/key_range_set.cc
+++ b/src/state/key_range_set.cc
@@ -4,17 +4,22 @@
 #include <iterator>
 
 namespace banyanknot::state {
+namespace {
+
+bool EndsBefore(const KeyRange& range, std::uint64_t key) {
+  return range.end < key;
+}
+
+}  // namespace
 
 std::vector<KeyRange> KeyRangeSet::MissingFrom(const KeyRange& whole) const {
   std::vector<KeyRange> missing;
   std::uint64_t cursor = whole.begin;
-  auto range = this->ends.upper_bound(whole.begin);
-  if (range != this->ends.begin()) {
-    cursor = std::max(cursor, std::prev(range)->second);
-  }
-  for (; range != this->ends.end() && range->first < whole.end; ++range) {
-    if (range->first > cursor) missing.push_back({cursor, range->first});
-    cursor = std::max(cursor, range->second);
+  auto range = std::lower_bound(this->ranges.begin(), this->ranges.end(),
+                                whole.begin, EndsBefore);
+  for (; range != this->ranges.end() && range->begin < whole.end; ++range) {
+    if (range->begin > cursor) missing.push_back({cursor, range->begin});
+    cursor = std::max(cursor, range->end);
   }
   if (cursor < whole.end) missing.push_back({cursor, whole.end});
   return missing;
@@ -24,18 +29,20 @@
   if (range.IsEmpty()) return {};
   std::vector<KeyRange> added = this->MissingFrom(range);
   if (added.empty()) return added;
+  const auto first = std::lower_bound(this->ranges.begin(), this->ranges.end(),
+                                      range.begin, EndsBefore);
   KeyRange merged = range;
-  auto next = this->ends.upper_bound(range.begin);
-  if (next != this->ends.begin()) {
-    const auto previous = std::prev(next);
-    if (previous->second >= range.begin) next = previous;
+  auto last = std::next(first, 0);
+  for (; last != this->ranges.end() && last->begin <= merged.end; ++last) {
+    merged.begin = std::min(merged.begin, last->begin);
+    merged.end = std::max(merged.end, last->end);
   }
-  while (next != this->ends.end() && next->first <= merged.end) {
-    merged.begin = std::min(merged.begin, next->first);
-    merged.end = std::max(merged.end, next->second);
-    next = this->ends.erase(next);
+  if (first == last) {
+    this->ranges.insert(first, merged);
+  } else {
+    *first = merged;
+    this->ranges.erase(first + 1, last);
   }
-  this->ends[merged.begin] = merged.end;
   return added;
 }
 
@@ -45,15 +52,8 @@
 
 std::uint64_t KeyRangeSet::Size() const {
   std::uint64_t size = 0;
-  for (const KeyRange& range : this->Ranges()) size += range.Size();
+  for (const KeyRange& range : this->ranges) size += range.Size();
   return size;
 }
 
-std::vector<KeyRange> KeyRangeSet::Ranges() const {
-  std::vector<KeyRange> ranges;
-  ranges.reserve(this->ends.size());
-  for (const auto& [begin, end] : this->ends) ranges.push_back({begin, end});
-  return ranges;
-}
-
 }  // namespace banyanknot::state
