Bound the time that a caller may take, and cut no request that has begun

Cause: a caller that sent a request slowly, or none, held a connection for ever; a shutdown closed connections on which a request was half read.

Change: a connection without a request is closed after 5 minutes, a request that does not arrive whole within 10 s gets 408, a response that is not taken within 10 s ends the connection. After an error response the rest is discarded for a second, so that the caller sees the response. A shutdown counts a connection as busy from the first byte of a request.

Checks shown to fail, each once on a broken copy: a server without the read bound, a shutdown that closes busy connections. Without the discarding after an error the checks still pass on this system, which hands out what came before a reset.

--- a/include/banyanknot/transport/http_server.h
+++ b/include/banyanknot/transport/http_server.h
@@ -42,13 +42,17 @@
   std::size_t max_body_bytes = 1u << 20;
   std::size_t max_header_bytes = 16u << 10;
   std::size_t max_connections = 4096;
+  state::Duration idle_timeout = state::Milliseconds(300'000);  ///< no request
+  state::Duration read_timeout = state::Milliseconds(10'000);   ///< a whole one
+  state::Duration write_timeout = state::Milliseconds(10'000);
+  state::Duration linger = state::Milliseconds(1'000);  ///< after an error
   state::Duration accept_delay{0};  ///< cost of a new connection
 };
 
 /// \brief Serves HTTP/1.1 with keep-alive, one request at a time a connection.
 ///
-/// Requests that exceed a bound or are not HTTP get a 4xx response and lose
-/// their connection.
+/// Requests that exceed a bound, take too long to arrive or are not HTTP get a
+/// 4xx response and lose their connection.
 class HttpServer {
  public:
   HttpServer(boost::asio::io_context& context, HttpHandler& handler,
@@ -61,7 +65,7 @@
       const state::Endpoint& endpoint);
 
   /// \brief Accepts no more connections and closes those that are idle;
-  /// others close after their response.
+  /// others close after the response to the request that they have begun.
   void Shutdown();
 
   /// \brief Closes every connection at once.
--- a/src/transport/http_server.cc
+++ b/src/transport/http_server.cc
@@ -53,7 +53,9 @@
 class ServerConnection : public std::enable_shared_from_this<ServerConnection> {
  public:
   ServerConnection(std::shared_ptr<HttpServer::Impl> server, tcp::socket socket)
-      : server(std::move(server)), stream(std::move(socket)) {}
+      : server(std::move(server)),
+        stream(std::move(socket)),
+        read_timer(this->stream.get_executor()) {}
 
   void Start() {
     asio::dispatch(this->stream.get_executor(),
@@ -63,7 +65,7 @@
   void CloseIfIdle() {
     asio::dispatch(this->stream.get_executor(),
                    [self = this->shared_from_this()] {
-                     if (!self->is_answering) self->Close();
+                     if (!self->is_busy) self->Close();
                    });
   }
 
@@ -83,9 +85,14 @@
   class Exchange;
 
   void ReadNext();
+  void WaitForRequest();
+  void ReadRequest();
   void OnRead(const beast::error_code& error);
   void WatchForClose(const std::shared_ptr<Exchange>& exchange);
   void WriteNow(const protocol::HttpResponse& response, bool keep_alive);
+  void Refuse(unsigned status, const char* error);
+  void DiscardUntilClosed();
+  void DiscardNext();
   void Close();
 
   const std::shared_ptr<HttpServer::Impl> server;
@@ -93,7 +100,10 @@
   beast::flat_buffer buffer;
   std::optional<http::request_parser<http::string_body>> parser;
   http::response<http::string_body> response;
-  bool is_answering = false;
+  asio::steady_timer read_timer;
+  bool is_busy = false;     // a request has begun to arrive or is answered
+  bool is_overdue = false;  // it took too long to arrive
+  bool is_refused = false;  // what it still sends is discarded
 };
 
 class ServerConnection::Exchange : public HttpExchange {
@@ -149,15 +159,47 @@
 };
 
 void ServerConnection::ReadNext() {
-  this->is_answering = false;
-  if (this->server->is_shut_down) {
-    this->Close();
-    return;
-  }
+  this->is_busy = this->buffer.size() > 0;
   this->parser.emplace();
   this->parser->body_limit(this->server->limits.max_body_bytes);
   this->parser->header_limit(
       static_cast<std::uint32_t>(this->server->limits.max_header_bytes));
+  if (this->is_busy) {
+    this->ReadRequest();
+  } else if (this->server->is_shut_down) {
+    this->Close();
+  } else {
+    this->WaitForRequest();
+  }
+}
+
+void ServerConnection::WaitForRequest() {
+  constexpr std::size_t kFirstReadBytes = 4096;
+  this->stream.expires_after(this->server->limits.idle_timeout);
+  this->stream.async_read_some(
+      this->buffer.prepare(kFirstReadBytes),
+      [self = this->shared_from_this()](const beast::error_code& error,
+                                        std::size_t bytes) {
+        if (error) {
+          self->Close();
+          return;
+        }
+        self->buffer.commit(bytes);
+        self->ReadRequest();
+      });
+}
+
+void ServerConnection::ReadRequest() {
+  this->is_busy = true;
+  this->stream.expires_never();
+  this->read_timer.expires_after(this->server->limits.read_timeout);
+  this->read_timer.async_wait(
+      [self = this->shared_from_this()](const beast::error_code& error) {
+        if (error) return;
+        self->is_overdue = true;
+        beast::error_code ignored;
+        self->stream.socket().cancel(ignored);  // ends the read
+      });
   http::async_read(this->stream, this->buffer, *this->parser,
                    [self = this->shared_from_this()](
                        const beast::error_code& error, std::size_t /*bytes*/) {
@@ -166,10 +208,13 @@
 }
 
 void ServerConnection::OnRead(const beast::error_code& error) {
-  this->is_answering = true;
+  this->read_timer.cancel();
   if (error == http::error::body_limit || error == http::error::header_limit) {
-    this->WriteNow({413, R"({"outcome":"invalid","error":"too_large"})"},
-                   false);
+    this->Refuse(413, R"({"outcome":"invalid","error":"too_large"})");
+    return;
+  }
+  if (error && this->is_overdue) {
+    this->Refuse(408, R"({"outcome":"invalid","error":"timeout"})");
     return;
   }
   if (error &&
@@ -177,14 +222,14 @@
           http::make_error_code(http::error::bad_method).category() &&
       error != http::error::end_of_stream &&
       error != http::error::partial_message) {
-    this->WriteNow({400, R"({"outcome":"invalid","error":"malformed"})"},
-                   false);
+    this->Refuse(400, R"({"outcome":"invalid","error":"malformed"})");
     return;
   }
   if (error) {
     this->Close();
     return;
   }
+  this->is_overdue = false;
   const bool keep_alive = this->parser->keep_alive();
   const std::shared_ptr<Exchange> exchange = std::make_shared<Exchange>(
       this->shared_from_this(), FromBeast(this->parser->release()), keep_alive);
@@ -216,10 +261,13 @@
   this->stream.socket().cancel(ignored);  // ends the watch for a close
   keep_alive = keep_alive && !this->server->is_shut_down;
   this->response = ToBeast(response, keep_alive);
+  this->stream.expires_after(this->server->limits.write_timeout);
   http::async_write(this->stream, this->response,
                     [self = this->shared_from_this(), keep_alive](
                         const beast::error_code& error, std::size_t /*bytes*/) {
-                      if (error || !keep_alive) {
+                      if (!error && self->is_refused) {
+                        self->DiscardUntilClosed();
+                      } else if (error || !keep_alive) {
                         self->Close();
                       } else {
                         self->ReadNext();
@@ -227,7 +275,37 @@
                     });
 }
 
+void ServerConnection::Refuse(unsigned status, const char* error) {
+  this->is_refused = true;
+  this->WriteNow({status, error}, false);
+}
+
+// A close with bytes unread would reset the connection, and the caller might
+// never see the response.
+void ServerConnection::DiscardUntilClosed() {
+  beast::error_code ignored;
+  this->stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
+  this->stream.expires_after(this->server->limits.linger);
+  this->DiscardNext();
+}
+
+void ServerConnection::DiscardNext() {
+  constexpr std::size_t kDiscardBytes = 16u << 10;
+  this->buffer.clear();
+  this->stream.async_read_some(
+      this->buffer.prepare(kDiscardBytes),
+      [self = this->shared_from_this()](const beast::error_code& error,
+                                        std::size_t /*bytes*/) {
+        if (error) {
+          self->Close();
+        } else {
+          self->DiscardNext();
+        }
+      });
+}
+
 void ServerConnection::Close() {
+  this->read_timer.cancel();
   beast::error_code ignored;
   this->stream.socket().shutdown(tcp::socket::shutdown_both, ignored);
   this->stream.socket().close(ignored);
--- /dev/null
+++ b/test/transport/http_server_test.cc
@@ -0,0 +1,251 @@
+#include "banyanknot/transport/http_server.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+#include <catch2/catch.hpp>
+#include <future>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <vector>
+
+#include "banyanknot/transport/io_threads.h"
+#include "transport/peer_link_fakes.h"
+
+namespace banyanknot::transport {
+namespace {
+
+using boost::asio::ip::tcp;
+
+// Echoes bodies; keeps the exchange of `/keep` and drops that of `/drop`.
+class EchoHandler : public HttpHandler {
+ public:
+  void Handle(std::shared_ptr<HttpExchange> exchange) override {
+    const std::string& target = exchange->Request().target;
+    if (target == "/drop") return;
+    if (target == "/keep") {
+      exchange->OnClosed([this] { this->closed.set_value(); });
+      const std::lock_guard<std::mutex> lock(this->mutex);
+      this->kept.push_back(exchange);
+      this->arrived.set_value();
+      return;
+    }
+    exchange->Respond({200, exchange->Request().body});
+  }
+
+  std::promise<void> arrived;
+  std::promise<void> closed;
+  std::mutex mutex;
+  std::vector<std::shared_ptr<HttpExchange>> kept;
+};
+
+struct ServerFixture {
+  explicit ServerFixture(HttpServerLimits limits = {})
+      : threads(2), server(threads.Context(), handler, limits) {
+    this->port = state::ValueOf(this->server.Listen({"127.0.0.1", 0}));
+  }
+  ~ServerFixture() {
+    {
+      const std::lock_guard<std::mutex> lock(this->handler.mutex);
+      this->handler.kept.clear();
+    }
+    this->threads.Stop();
+  }
+
+  EchoHandler handler;
+  IoThreads threads;
+  HttpServer server;
+  std::uint16_t port = 0;
+};
+
+// A caller that writes raw bytes and reads what it gets.
+class RawCaller {
+ public:
+  explicit RawCaller(std::uint16_t port) : socket(this->context) {
+    this->socket.connect({boost::asio::ip::make_address("127.0.0.1"), port});
+  }
+
+  void Write(const std::string& bytes) {
+    boost::system::error_code ignored;
+    boost::asio::write(this->socket, boost::asio::buffer(bytes), ignored);
+  }
+
+  // Reads until the server closes, or `end` came.
+  std::string ReadUntil(const std::string& end) {
+    std::future<std::string> text = std::async(std::launch::async, [&] {
+      std::string bytes;
+      char byte = 0;
+      boost::system::error_code error;
+      while (end.empty() || bytes.find(end) == std::string::npos) {
+        this->socket.read_some(boost::asio::buffer(&byte, 1), error);
+        if (error) break;
+        bytes.push_back(byte);
+      }
+      return bytes;
+    });
+    if (text.wait_for(kTestPatience) != std::future_status::ready) {
+      boost::system::error_code ignored;
+      this->socket.shutdown(tcp::socket::shutdown_both, ignored);
+      return "still open";
+    }
+    return text.get();
+  }
+  std::string ReadAll() { return this->ReadUntil(""); }
+
+  void Close() { this->socket.close(); }
+
+ private:
+  boost::asio::io_context context;
+  tcp::socket socket;
+};
+
+std::string Post(const std::string& target, const std::string& body) {
+  return "POST " + target + " HTTP/1.1\r\nHost: h\r\nContent-Length: " +
+         std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+std::string FirstLine(const std::string& text) {
+  return text.substr(0, text.find("\r\n"));
+}
+
+HttpServerLimits SmallLimits() {
+  HttpServerLimits limits;
+  limits.max_body_bytes = 1'000;
+  limits.max_header_bytes = 1'000;
+  limits.read_timeout = state::Milliseconds(50);
+  limits.linger = state::Milliseconds(200);
+  return limits;
+}
+
+TEST_CASE("Bad input gets a clear error and loses its connection") {
+  struct Row {
+    const char* name;
+    std::string bytes;
+    const char* first_line;
+  };
+  const std::vector<Row> rows = {
+      {"garbage", "\x01\x02\x03\r\n\r\n", "HTTP/1.1 400 Bad Request"},
+      {"no version", "GET /\r\n\r\n", "HTTP/1.1 400 Bad Request"},
+      {"wrong length", "POST / HTTP/1.1\r\nContent-Length: x\r\n\r\n",
+       "HTTP/1.1 400 Bad Request"},
+      {"body too large", Post("/", std::string(5'000'000, 'x')),
+       "HTTP/1.1 413 Payload Too Large"},
+      {"declared too large", "POST / HTTP/1.1\r\nContent-Length: 99999\r\n\r\n",
+       "HTTP/1.1 413 Payload Too Large"},
+      {"header too large",
+       "GET / HTTP/1.1\r\nX: " + std::string(5'000, 'x') + "\r\n\r\n",
+       "HTTP/1.1 413 Payload Too Large"},
+      {"slow header", "GET / HTTP/1.1\r\nHo", "HTTP/1.1 408 Request Timeout"},
+      {"slow body", "POST / HTTP/1.1\r\nContent-Length: 9\r\n\r\nabc",
+       "HTTP/1.1 408 Request Timeout"},
+  };
+  for (const Row& row : rows) {
+    INFO(row.name);
+    ServerFixture fixture(SmallLimits());
+    RawCaller good(fixture.port);
+    RawCaller bad(fixture.port);
+    bad.Write(row.bytes);
+    CHECK(FirstLine(bad.ReadAll()) == row.first_line);
+    good.Write(Post("/", "fine"));
+    CHECK(FirstLine(good.ReadUntil("fine")) == "HTTP/1.1 200 OK");
+  }
+}
+
+TEST_CASE("A connection on which no request comes is closed") {
+  HttpServerLimits limits;
+  limits.idle_timeout = state::Milliseconds(50);
+  ServerFixture fixture(limits);
+  RawCaller fresh(fixture.port);
+  CHECK(fresh.ReadAll().empty());
+  RawCaller used(fixture.port);
+  used.Write(Post("/", "once"));
+  CHECK(FirstLine(used.ReadAll()) == "HTTP/1.1 200 OK");
+}
+
+TEST_CASE("A caller that goes away in the middle of a request is let go") {
+  ServerFixture fixture;
+  {
+    RawCaller gone(fixture.port);
+    gone.Write("POST / HTTP/1.1\r\nContent-Length: 9\r\n\r\nabc");
+  }
+  RawCaller good(fixture.port);
+  good.Write(Post("/", "fine"));
+  CHECK(FirstLine(good.ReadUntil("fine")) == "HTTP/1.1 200 OK");
+}
+
+TEST_CASE("The handler hears of a caller that closes before its response") {
+  ServerFixture fixture;
+  RawCaller caller(fixture.port);
+  caller.Write(Post("/keep", ""));
+  REQUIRE(fixture.handler.arrived.get_future().wait_for(kTestPatience) ==
+          std::future_status::ready);
+  caller.Close();
+  CHECK(fixture.handler.closed.get_future().wait_for(kTestPatience) ==
+        std::future_status::ready);
+}
+
+TEST_CASE("Dropping an exchange closes its connection") {
+  ServerFixture fixture;
+  RawCaller caller(fixture.port);
+  caller.Write(Post("/drop", ""));
+  CHECK(caller.ReadAll().empty());
+}
+
+TEST_CASE("Requests on one connection are answered in order") {
+  ServerFixture fixture;
+  RawCaller caller(fixture.port);
+  caller.Write(Post("/", "first") + Post("/", "second"));
+  const std::string text = caller.ReadUntil("second");
+  CHECK(text.find("first") < text.find("second"));
+  caller.Write(Post("/", "third"));
+  CHECK(caller.ReadUntil("third").find("third") != std::string::npos);
+}
+
+TEST_CASE("Connections beyond the bound are closed and harm no other") {
+  HttpServerLimits limits;
+  limits.max_connections = 1;
+  ServerFixture fixture(limits);
+  RawCaller first(fixture.port);
+  first.Write(Post("/", "a"));
+  CHECK(FirstLine(first.ReadUntil("\r\n\r\na")) == "HTTP/1.1 200 OK");
+  RawCaller second(fixture.port);
+  CHECK(second.ReadAll().empty());
+  first.Write(Post("/", "b"));
+  CHECK(FirstLine(first.ReadUntil("\r\n\r\nb")) == "HTTP/1.1 200 OK");
+}
+
+TEST_CASE("A shutdown cuts no request that has begun to arrive") {
+  ServerFixture fixture;
+  RawCaller caller(fixture.port);
+  RawCaller idle(fixture.port);
+  idle.Write(Post("/", "idle"));
+  CHECK(FirstLine(idle.ReadUntil("idle")) == "HTTP/1.1 200 OK");
+  const std::string second = Post("/", "second");
+  caller.Write(Post("/", "first") + second.substr(0, 20));
+  CHECK(FirstLine(caller.ReadUntil("first")) == "HTTP/1.1 200 OK");
+  fixture.server.Shutdown();
+  CHECK(idle.ReadAll().empty());
+  caller.Write(second.substr(20));
+  const std::string text = caller.ReadAll();
+  CHECK(FirstLine(text) == "HTTP/1.1 200 OK");
+  CHECK(text.find("second") != std::string::npos);
+}
+
+TEST_CASE("A shutdown lets a request be answered") {
+  ServerFixture fixture;
+  RawCaller caller(fixture.port);
+  caller.Write(Post("/keep", ""));
+  REQUIRE(fixture.handler.arrived.get_future().wait_for(kTestPatience) ==
+          std::future_status::ready);
+  fixture.server.Shutdown();
+  {
+    const std::lock_guard<std::mutex> lock(fixture.handler.mutex);
+    fixture.handler.kept[0]->Respond({200, "done"});
+  }
+  CHECK(caller.ReadAll().find("done") != std::string::npos);
+}
+
+}  // namespace
+}  // namespace banyanknot::transport
