--- a/include/banyanknot/transport/peer_tcp_link.h
+++ b/include/banyanknot/transport/peer_tcp_link.h
@@ -4,7 +4,9 @@
 #include <cstddef>
 #include <cstdint>
 #include <memory>
+#include <vector>
 
+#include "banyanknot/coordination/metric_source.h"
 #include "banyanknot/coordination/peer_link.h"
 #include "banyanknot/state/host_record.h"
 #include "banyanknot/state/result.h"
@@ -47,7 +49,8 @@
 /// Thread-safe. One outgoing connection to each peer that there is something
 /// for; liveness is checked on each connection. docs/INTERFACES-peers.md
 /// describes the frames and the bounds.
-class PeerTcpLink : public coordination::PeerLink {
+class PeerTcpLink : public coordination::PeerLink,
+                    public coordination::MetricSource {
  public:
   /// \param handler takes what other hosts send; called on any thread
   PeerTcpLink(boost::asio::io_context& context,
@@ -67,6 +70,8 @@
   void Shutdown();
 
   PeerLinkCounters Counters() const;
+  void CollectMetrics(
+      std::vector<coordination::MetricSample>& samples) const override;
 
   struct Impl;  ///< hidden from callers
 
--- a/test/transport/peer_tcp_link_test.cc
+++ b/test/transport/peer_tcp_link_test.cc
@@ -96,6 +96,22 @@
   CHECK(west.link.Counters().messages_received == 50);
 }
 
+TEST_CASE("Each counter of the link is a metric") {
+  Host east("east");
+  Host west("west");
+  east.link.Send(Loopback(west.port), Numbered(1));
+  REQUIRE(west.handler.WaitFor(1));
+  std::vector<coordination::MetricSample> samples;
+  west.link.CollectMetrics(samples);
+  REQUIRE(samples.size() == 9);
+  for (const coordination::MetricSample& sample : samples) {
+    INFO(sample.name);
+    const bool is_received =
+        sample.name == "banyanknot_peer_messages_received_total";
+    CHECK(sample.value == (is_received ? 1 : 0));
+  }
+}
+
 TEST_CASE("The largest message passes and a larger one is dropped") {
   Host east("east");
   Host west("west");
