Admit failure domains only as far as the view is trusted

Cause: the gate did not ask how far this host's view may be relied on, so a host that wakes from a pause could act on what it knew before.

Change: GuardedDomainAdmission asks the view guard before the catalogue: no new work while the view is suspect, own failure domain only when it can't be refreshed. ServerParts takes the view and the guard from outside. The test of the pool's queue now tells a refusal at once from one that comes when the time is up, which it did not before.

--- a/daemons/host_application.cc
+++ b/daemons/host_application.cc
@@ -127,7 +127,7 @@
               settings.seed_peers, peer_link, platform, platform, catalogue,
               hosts, keeper, audit),
         server_parts(settings.policies, clock, timers, random, catalogue,
-                     servers, hosts, identity, audit, fleet.board),
+                     servers, fleet.view, fleet.guard, audit, fleet.board),
         pools(threads.Context(), clock, server_parts.Shares(),
               server_parts.fleet_gate,
               settings.policies == PolicySet::kNaive
--- a/daemons/server_parts.cc
+++ b/daemons/server_parts.cc
@@ -7,25 +7,24 @@
 
 }  // namespace
 
-ServerParts::ServerParts(PolicySet policies, const coordination::Clock& clock,
-                         coordination::TimerService& timers,
-                         coordination::RandomSource& random,
-                         const state::CatalogueTable& catalogue,
-                         state::ServerTable& servers, state::HostTable& hosts,
-                         const state::HostIdentity& self,
-                         coordination::AuditSink& audit,
-                         coordination::ServerNoteBoard& board)
+ServerParts::ServerParts(
+    PolicySet policies, const coordination::Clock& clock,
+    coordination::TimerService& timers, coordination::RandomSource& random,
+    const state::CatalogueTable& catalogue, state::ServerTable& servers,
+    const coordination::MembershipView& view, coordination::ViewGuard& guard,
+    coordination::AuditSink& audit, coordination::ServerNoteBoard& board)
     : policies(policies),
       open_gate(clock),
-      view(self, hosts),
       roster(view),
-      ownership(clock, roster, self.self.id, coordination::OwnershipTimes()),
+      ownership(clock, roster, view.Self().self.id,
+                coordination::OwnershipTimes()),
       rules(coordination::ServerPhaseBounds()),
       journal(audit, board),
       receiver(clock, servers, rules, journal),
       backoff(random, coordination::BackoffTimes()),
       slots(coordination::SlotLimits()),
-      domains(catalogue),
+      catalogue_domains(catalogue),
+      domains(guard, view.Self().self.domain, catalogue_domains),
       fleet_gate(clock, servers, domains, ownership, slots, backoff, rules,
                  journal),
       upkeep(clock, timers, catalogue, servers, ownership, rules, journal),
--- a/daemons/server_parts.h
+++ b/daemons/server_parts.h
@@ -12,8 +12,9 @@
               coordination::TimerService& timers,
               coordination::RandomSource& random,
               const state::CatalogueTable& catalogue,
-              state::ServerTable& servers, state::HostTable& hosts,
-              const state::HostIdentity& self, coordination::AuditSink& audit,
+              state::ServerTable& servers,
+              const coordination::MembershipView& view,
+              coordination::ViewGuard& guard, coordination::AuditSink& audit,
               coordination::ServerNoteBoard& board);
 
   /// \brief The gate of the policies that were asked for.
@@ -27,7 +28,6 @@
 
   const PolicySet policies;
   coordination::OpenServerGate open_gate;
-  coordination::TableMembershipView view;
   coordination::ViewHostRoster roster;
   coordination::RendezvousColdSlotOwnership ownership;
   coordination::ServerPhaseRules rules;
@@ -35,7 +35,8 @@
   coordination::ServerNoteReceiver receiver;
   coordination::ServerBackoff backoff;
   coordination::ReportedSlotLimiter slots;
-  coordination::CatalogueDomainAdmission domains;
+  coordination::CatalogueDomainAdmission catalogue_domains;
+  coordination::GuardedDomainAdmission domains;
   coordination::FleetServerGate fleet_gate;
   coordination::ServerUpkeep upkeep;
   coordination::FixedConnectionShares fixed_shares;
--- a/test/transport/http_connection_pool_test.cc
+++ b/test/transport/http_connection_pool_test.cc
@@ -125,11 +125,14 @@
   options.silence_bound = Milliseconds(60'000);
   PoolFixture fixture([](const Seen&) { return Step::kSilent; }, options);
   std::future<HttpCallResult> carried =
-      fixture.Start("first", Milliseconds(600));
+      fixture.Start("first", Milliseconds(2'000));
   std::future<HttpCallResult> waiting =
       fixture.Start("second", Milliseconds(100));
-  const HttpCallResult beyond = fixture.Run("third", Milliseconds(600));
+  const HttpCallResult beyond = fixture.Run("third", Milliseconds(10'000));
+  REQUIRE_FALSE(state::IsOk(beyond));
   CHECK(state::ErrorOf(beyond) == TransportError::kLimit);
+  CHECK(carried.wait_for(std::chrono::seconds(0)) ==
+        std::future_status::timeout);
   CHECK(state::ErrorOf(PoolFixture::Take(std::move(waiting))) ==
         TransportError::kLimit);
   CHECK(state::ErrorOf(PoolFixture::Take(std::move(carried))) ==
