--- a/test/coordination/servers/fakes.h
+++ b/test/coordination/servers/fakes.h
@@ -10,8 +10,6 @@
 
 namespace banyanknot::coordination::servers_test {
 
-using fleet_testing::RecordingAuditSink;
-
 /// \brief A clock that stands until it is moved.
 class FakeClock : public Clock {
  public:
