Prove servers warm by trials, brief new hosts, and be ready only then

Cause: a server counts as cold until real work proves it warm, and only the owners of its cold slots may send it any. A host that started later heard of no phase at all. Ruled out: lost notes (the boards agreed) and slow servers. Change: owners send trial sub-requests for one key, through the gate and its cold slots; the briefing of new hosts is wired in; a host says that it is ready once it knows of a warm replica of every shard, or after 8 s; a host without any catalogue answers not_run in place of calling a good query invalid. Conclusion: what a cold server bears still bounds what it gets, and callers no longer pay for the proof.

--- a/daemons/host_application.cc
+++ b/daemons/host_application.cc
@@ -30,6 +30,8 @@
 }
 
 constexpr std::size_t kAuditCapacity = 4096;
+/// Longer than the takeover delay of cold slots and a ramp together.
+constexpr state::Duration kWarmWait = state::Milliseconds(8'000);
 
 transport::BoostEventLog::LineEncoder EncoderOf(LogFormat format) {
   return format == LogFormat::kJson ? protocol::EncodeJsonLogLine
@@ -111,6 +113,14 @@
                        [this] { this->ApplySharesRegularly(); });
   }
 
+  /// The naive policies know nothing of warmth and don't wait for it.
+  const coordination::Readiness& StartReadiness() const {
+    if (this->settings.policies == PolicySet::kNaive) {
+      return this->fleet.readiness;
+    }
+    return this->warm_readiness;
+  }
+
   explicit Parts(const HostSettings& settings)
       : settings(settings),
         identity(IdentityOf(settings, wall_clock)),
@@ -127,7 +137,8 @@
               settings.seed_peers, peer_link, platform, platform, catalogue,
               hosts, keeper, audit),
         server_parts(settings.policies, clock, timers, random, catalogue,
-                     servers, fleet.view, fleet.guard, audit, fleet.board),
+                     servers, fleet.view, fleet.guard, audit, fleet.board,
+                     peer_link),
         pools(threads.Context(), clock, server_parts.Shares(),
               server_parts.fleet_gate,
               settings.policies == PolicySet::kNaive
@@ -138,6 +149,10 @@
         prober(clock, timers, random, health, servers, server_parts.roster,
                settings.id, server_parts.rules, server_parts.journal,
                coordination::ProbeTimes()),
+        trial(DrawOrigin(), clock, timers, catalogue, servers,
+              server_parts.fleet_gate, backend, coordination::TrialTimes()),
+        warm_readiness(clock, fleet.readiness, catalogue, servers, log,
+                       kWarmWait),
         policies(settings.policies, clock, random, catalogue, servers,
                  server_parts.Gate()),
         executor(origin, clock, timers, backend, catalogue,
@@ -151,7 +166,7 @@
         service(clock, executor, query_metrics, operators, actions.service),
         server(threads.Context(), service, {protocol::kMaxCallerRequestBytes}),
         stop_target(fleet.membership, executor, actions.executor, server),
-        stop(settings.id, clock, timers, catalogue, fleet.readiness,
+        stop(settings.id, clock, timers, catalogue, StartReadiness(),
              stop_target, audit) {
     for (coordination::PeerHandler* handler : this->fleet.Handlers()) {
       this->peer_router.Add(handler);
@@ -184,6 +199,8 @@
   transport::BackendHttpClient backend;
   transport::BackendHealthHttpClient health;
   coordination::ServerProber prober;
+  coordination::WarmthTrial trial;
+  coordination::WarmReadiness warm_readiness;
   state::QueryCounters counters;
   HostPolicies policies;
   coordination::QueryExecutor executor;
@@ -273,7 +290,10 @@
   this->parts->actions.executor.Start();
   this->parts->server_parts.Start();
   this->parts->ApplySharesRegularly();
-  this->parts->prober.Start();
+  if (this->parts->settings.policies == PolicySet::kFull) {
+    this->parts->prober.Start();
+    this->parts->trial.Start();
+  }
   const int status = this->RunUntilStopped();
   this->parts->peer_link.Shutdown();
   return status;
--- a/daemons/server_parts.cc
+++ b/daemons/server_parts.cc
@@ -12,7 +12,8 @@
     coordination::TimerService& timers, coordination::RandomSource& random,
     const state::CatalogueTable& catalogue, state::ServerTable& servers,
     const coordination::MembershipView& view, coordination::ViewGuard& guard,
-    coordination::AuditSink& audit, coordination::ServerNoteBoard& board)
+    coordination::AuditSink& audit, coordination::ServerNoteBoard& board,
+    coordination::PeerLink& link)
     : policies(policies),
       open_gate(clock),
       roster(view),
@@ -28,6 +29,7 @@
       fleet_gate(clock, servers, domains, ownership, slots, backoff, rules,
                  journal),
       upkeep(clock, timers, catalogue, servers, ownership, rules, journal),
+      briefing(clock, timers, servers, view, link),
       fixed_shares(kNaiveConnections),
       fleet_shares(servers, roster) {
   board.Subscribe(this->receiver);
@@ -43,6 +45,9 @@
   return this->fleet_shares;
 }
 
-void ServerParts::Start() { this->upkeep.Start(); }
+void ServerParts::Start() {
+  this->upkeep.Start();
+  this->briefing.Start();
+}
 
 }  // namespace banyanknot::daemons
--- a/daemons/server_parts.h
+++ b/daemons/server_parts.h
@@ -15,7 +15,8 @@
               state::ServerTable& servers,
               const coordination::MembershipView& view,
               coordination::ViewGuard& guard, coordination::AuditSink& audit,
-              coordination::ServerNoteBoard& board);
+              coordination::ServerNoteBoard& board,
+              coordination::PeerLink& link);
 
   /// \brief The gate of the policies that were asked for.
   coordination::ServerGate& Gate();
@@ -39,6 +40,7 @@
   coordination::GuardedDomainAdmission domains;
   coordination::FleetServerGate fleet_gate;
   coordination::ServerUpkeep upkeep;
+  coordination::NewcomerBriefing briefing;
   coordination::FixedConnectionShares fixed_shares;
   coordination::FleetConnectionShares fleet_shares;
 };
--- a/include/banyanknot/coordination/query/query_executor.h
+++ b/include/banyanknot/coordination/query/query_executor.h
@@ -79,6 +79,8 @@
   std::optional<Refusal> Begin(const state::RequestId& id,
                                const state::Query& query,
                                AnswerHandler& handler);
+  /// Refuses a service that has no usable shard map.
+  Refusal RefuseFor(ShardMapFault fault) const;
   void Start(const state::RequestId& id, Entry entry);
   void Post(const state::RequestId& id, Event event);
   void Drain(const state::RequestId& id, QueryRun& run, Event first);
@@ -97,6 +99,7 @@
   const Clock& clock;
   TimerService& timers;
   BackendClient& backend;
+  const state::CatalogueTable& catalogue;
   const QueryPolicies policies;
   state::QueryCounters& counters;
   ShardMapTable maps;
--- a/src/coordination/query/query_executor.cc
+++ b/src/coordination/query/query_executor.cc
@@ -7,6 +7,8 @@
 namespace banyanknot::coordination {
 namespace {
 
+constexpr state::Duration kCatalogueWait = state::Milliseconds(1'000);
+
 bool IsShare(double value) { return value >= 0 && value <= 1; }
 
 state::Duration AllowedTime(const state::Query& query,
@@ -27,6 +29,7 @@
       clock(clock),
       timers(timers),
       backend(backend),
+      catalogue(catalogue),
       policies(policies),
       counters(counters),
       maps(catalogue) {}
@@ -64,11 +67,7 @@
   const state::Result<ShardMap::Pointer, ShardMapFault> map =
       this->maps.Find(query.service);
   if (!state::IsOk(map)) {
-    const ShardMapFault fault = state::ErrorOf(map);
-    return Refusal{fault == ShardMapFault::kUnknownService
-                       ? state::Outcome::kInvalid
-                       : state::Outcome::kNotRun,
-                   std::string(NameOf(fault))};
+    return this->RefuseFor(state::ErrorOf(map));
   }
   const state::ServiceEntry& service = state::ValueOf(map)->Service();
   const state::Duration allowed = AllowedTime(query, service.limits);
@@ -91,6 +90,16 @@
   return std::nullopt;
 }
 
+QueryExecutor::Refusal QueryExecutor::RefuseFor(ShardMapFault fault) const {
+  if (this->catalogue.MaxRevision() == 0) {
+    return {state::Outcome::kNotRun, "no catalogue is in force yet",
+            kCatalogueWait};
+  }
+  return {fault == ShardMapFault::kUnknownService ? state::Outcome::kInvalid
+                                                  : state::Outcome::kNotRun,
+          std::string(NameOf(fault))};
+}
+
 void QueryExecutor::Start(const state::RequestId& id, Entry entry) {
   const state::TimePoint deadline = entry.run->Times().deadline;
   this->entries.Insert(id, std::move(entry));
--- /dev/null
+++ b/src/coordination/servers/warm_readiness.cc
@@ -0,0 +1,67 @@
+#include "banyanknot/coordination/servers/warm_readiness.h"
+
+#include <algorithm>
+#include <memory>
+#include <optional>
+#include <vector>
+
+namespace banyanknot::coordination {
+
+WarmReadiness::WarmReadiness(const Clock& clock, const Readiness& inner,
+                             const state::CatalogueTable& catalogue,
+                             const state::ServerTable& servers, EventLog& log,
+                             state::Duration bound)
+    : clock(clock),
+      inner(inner),
+      catalogue(catalogue),
+      servers(servers),
+      log(log),
+      bound(bound) {}
+
+bool WarmReadiness::IsReady() const {
+  if (this->is_ready) return true;
+  if (!this->inner.IsReady()) return false;
+  if (this->HasWarmReplicas()) {
+    this->Latch("every shard has a warm replica");
+  } else if (this->IsBoundPassed()) {
+    this->Latch("waited long enough for warm servers");
+  }
+  return this->is_ready;
+}
+
+bool WarmReadiness::HasWarmReplicas() const {
+  const std::vector<std::shared_ptr<const state::ServiceEntry>> services =
+      this->catalogue.Services();
+  return std::all_of(
+      services.begin(), services.end(),
+      [this](const std::shared_ptr<const state::ServiceEntry>& service) {
+        return std::all_of(service->shards.begin(), service->shards.end(),
+                           [this](const state::ShardEntry& shard) {
+                             return this->HasWarmReplica(shard);
+                           });
+      });
+}
+
+bool WarmReadiness::HasWarmReplica(const state::ShardEntry& shard) const {
+  return std::any_of(shard.replicas.begin(), shard.replicas.end(),
+                     [this](const state::ServerId& server) {
+                       const std::optional<state::ServerRecord> record =
+                           this->servers.Find(server);
+                       return record &&
+                              record->phase == state::ServerPhase::kWarm;
+                     });
+}
+
+bool WarmReadiness::IsBoundPassed() const {
+  const state::Duration::rep now = this->clock.Now().time_since_epoch().count();
+  state::Duration::rep unset = 0;
+  this->inner_since.compare_exchange_strong(unset, now);
+  return state::Duration(now - this->inner_since) >= this->bound;
+}
+
+void WarmReadiness::Latch(const std::string& reason) const {
+  if (this->is_ready.exchange(true)) return;
+  this->log.Write(EventCode::kHostReady, {{"reason", reason}});
+}
+
+}  // namespace banyanknot::coordination
