Measure control cost, count bytes to peers, and tidy the host's construction

Cause: the cost of control was only estimated; the host's file held three classes; two listeners opened their ports in the same lines; the measure of reads started two deployments at once, whose free ports met. Change: the measure control_cost over real processes, a counter of bytes sent to peers, process_stop_target, late_readiness and open_acceptor as files of their own, a test that a host without a catalogue says not run. Conclusion: behaviour is as before; the new measure is yet to be run.

--- a/bench/measure/fleet_measures.cc
+++ b/bench/measure/fleet_measures.cc
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <chrono>
 #include <csignal>
-#include <future>
 #include <limits>
 #include <optional>
 
@@ -280,9 +279,8 @@
   constexpr double kFleetHosts = 570;
   constexpr double kSmall = 3;
   constexpr double kLarge = 15;
-  std::future<ReadRate> small = std::async(std::launch::async, MeasureReads, 1);
+  const ReadRate few = MeasureReads(1);
   const ReadRate large = MeasureReads(5);
-  const ReadRate few = small.get();
   const double slope =
       (large.reads_per_second - few.reads_per_second) / (kLarge - kSmall);
   Finding finding;
--- a/bench/measure/measure_main.cc
+++ b/bench/measure/measure_main.cc
@@ -5,6 +5,7 @@
 #include <string>
 #include <vector>
 
+#include "control_cost_measure.h"
 #include "fleet_measures.h"
 #include "path_cost_measure.h"
 #include "query_measures.h"
@@ -42,6 +43,8 @@
   measures.push_back(
       std::make_unique<banyanknot::measure::SnapshotChangeMeasure>());
   measures.push_back(std::make_unique<banyanknot::measure::PathCostMeasure>());
+  measures.push_back(
+      std::make_unique<banyanknot::measure::ControlCostMeasure>());
   return measures;
 }
 
--- a/daemons/host_application.cc
+++ b/daemons/host_application.cc
@@ -1,11 +1,9 @@
 #include "host_application.h"
 
-#include <atomic>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <csignal>
 #include <cstdio>
-#include <functional>
 #include <future>
 #include <random>
 #include <utility>
@@ -17,22 +15,23 @@
 #include "fleet_parts.h"
 #include "host_policies.h"
 #include "host_service.h"
+#include "late_readiness.h"
+#include "process_stop_target.h"
 #include "server_parts.h"
 
 namespace banyanknot::daemons {
 namespace {
 
 constexpr state::Duration kSharesInterval = state::Milliseconds(1'000);
+constexpr std::size_t kAuditCapacity = 4096;
+/// Longer than the takeover delay of cold slots and a ramp together.
+constexpr state::Duration kWarmWait = state::Milliseconds(8'000);
 
 std::uint64_t DrawOrigin() {
   std::random_device device;
   return (static_cast<std::uint64_t>(device()) << 32) | device();
 }
 
-constexpr std::size_t kAuditCapacity = 4096;
-/// Longer than the takeover delay of cold slots and a ramp together.
-constexpr state::Duration kWarmWait = state::Milliseconds(8'000);
-
 transport::BoostEventLog::LineEncoder EncoderOf(LogFormat format) {
   return format == LogFormat::kJson ? protocol::EncodeJsonLogLine
                                     : protocol::EncodeTextLogLine;
@@ -50,59 +49,6 @@
   return identity;
 }
 
-constexpr state::Duration kGoodbyeSpread = state::Milliseconds(500);
-
-/// Carries out the stop of this process's parts.
-class ProcessStopTarget : public coordination::StopTarget {
- public:
-  using StoppedHandler =
-      std::function<void(coordination::StopPhase, std::size_t)>;
-
-  ProcessStopTarget(coordination::Membership& membership,
-                    const coordination::QueryExecutor& queries,
-                    const coordination::ActionExecutor& actions,
-                    transport::HttpServer& server)
-      : membership(membership),
-        queries(queries),
-        actions(actions),
-        server(server) {}
-
-  /// \brief Sets what is told of the end; before the stop begins.
-  void OnEnd(StoppedHandler handler) { this->handler = std::move(handler); }
-
-  void SayGoodbye() override { this->membership.SayGoodbye(kGoodbyeSpread); }
-  void StopAccepting() override { this->server.Shutdown(); }
-  std::size_t InFlight() const override {
-    return this->queries.InFlight() + this->actions.InFlight() +
-           this->server.Connections();
-  }
-  void OnStopped(coordination::StopPhase phase, std::size_t left) override {
-    if (this->handler) this->handler(phase, left);
-  }
-
- private:
-  coordination::Membership& membership;
-  const coordination::QueryExecutor& queries;
-  const coordination::ActionExecutor& actions;
-  transport::HttpServer& server;
-  StoppedHandler handler;
-};
-
-/// Asks a StopSequence whether the host is ready once there is one.
-class LateReadiness : public coordination::Readiness {
- public:
-  void Set(const coordination::Readiness& readiness) {
-    this->readiness = &readiness;
-  }
-  bool IsReady() const override {
-    const coordination::Readiness* current = this->readiness;
-    return current != nullptr && current->IsReady();
-  }
-
- private:
-  std::atomic<const coordination::Readiness*> readiness{nullptr};
-};
-
 }  // namespace
 
 struct HostApplication::Parts {
--- /dev/null
+++ b/daemons/process_stop_target.cc
@@ -0,0 +1,41 @@
+#include "process_stop_target.h"
+
+#include <utility>
+
+namespace banyanknot::daemons {
+namespace {
+
+constexpr state::Duration kGoodbyeSpread = state::Milliseconds(500);
+
+}  // namespace
+
+ProcessStopTarget::ProcessStopTarget(
+    coordination::Membership& membership,
+    const coordination::QueryExecutor& queries,
+    const coordination::ActionExecutor& actions, transport::HttpServer& server)
+    : membership(membership),
+      queries(queries),
+      actions(actions),
+      server(server) {}
+
+void ProcessStopTarget::OnEnd(StoppedHandler handler) {
+  this->handler = std::move(handler);
+}
+
+void ProcessStopTarget::SayGoodbye() {
+  this->membership.SayGoodbye(kGoodbyeSpread);
+}
+
+void ProcessStopTarget::StopAccepting() { this->server.Shutdown(); }
+
+std::size_t ProcessStopTarget::InFlight() const {
+  return this->queries.InFlight() + this->actions.InFlight() +
+         this->server.Connections();
+}
+
+void ProcessStopTarget::OnStopped(coordination::StopPhase phase,
+                                  std::size_t left) {
+  if (this->handler) this->handler(phase, left);
+}
+
+}  // namespace banyanknot::daemons
--- /dev/null
+++ b/daemons/process_stop_target.h
@@ -0,0 +1,41 @@
+#ifndef BANYANKNOT_DAEMONS_PROCESS_STOP_TARGET_H_
+#define BANYANKNOT_DAEMONS_PROCESS_STOP_TARGET_H_
+
+#include <cstddef>
+#include <functional>
+
+#include "banyanknot/Coordination"
+#include "banyanknot/transport/http_server.h"
+
+namespace banyanknot::daemons {
+
+/// \brief Carries out the stop of this process's parts.
+class ProcessStopTarget : public coordination::StopTarget {
+ public:
+  using StoppedHandler =
+      std::function<void(coordination::StopPhase, std::size_t)>;
+
+  ProcessStopTarget(coordination::Membership& membership,
+                    const coordination::QueryExecutor& queries,
+                    const coordination::ActionExecutor& actions,
+                    transport::HttpServer& server);
+
+  /// \brief Sets what is told of the end; before the stop begins.
+  void OnEnd(StoppedHandler handler);
+
+  void SayGoodbye() override;
+  void StopAccepting() override;
+  std::size_t InFlight() const override;
+  void OnStopped(coordination::StopPhase phase, std::size_t left) override;
+
+ private:
+  coordination::Membership& membership;
+  const coordination::QueryExecutor& queries;
+  const coordination::ActionExecutor& actions;
+  transport::HttpServer& server;
+  StoppedHandler handler;
+};
+
+}  // namespace banyanknot::daemons
+
+#endif  // BANYANKNOT_DAEMONS_PROCESS_STOP_TARGET_H_
--- a/include/banyanknot/transport/peer_tcp_link.h
+++ b/include/banyanknot/transport/peer_tcp_link.h
@@ -34,6 +34,7 @@
 /// \brief What a PeerTcpLink has counted since its start.
 struct PeerLinkCounters {
   std::uint64_t messages_sent = 0;
+  std::uint64_t bytes_sent = 0;  ///< of frames, keep-alives among them
   std::uint64_t messages_received = 0;
   std::uint64_t messages_dropped = 0;  ///< queue full, too large, unreachable
   std::uint64_t unknown_messages = 0;  ///< of kinds that later releases know
--- a/src/transport/http_server.cc
+++ b/src/transport/http_server.cc
@@ -13,6 +13,7 @@
 #include <utility>
 
 #include "transport/http_convert.h"
+#include "transport/open_acceptor.h"
 
 namespace banyanknot::transport {
 
@@ -365,19 +366,10 @@
 
 state::Result<std::uint16_t, TransportError> HttpServer::Listen(
     const state::Endpoint& endpoint) {
-  beast::error_code error;
-  const asio::ip::address address =
-      asio::ip::make_address(endpoint.address, error);
-  if (error) return TransportError::kResolve;
-  const tcp::endpoint local(address, endpoint.port);
-  tcp::acceptor& acceptor = this->impl->acceptor;
-  acceptor.open(local.protocol(), error);
-  if (!error) acceptor.set_option(tcp::acceptor::reuse_address(true), error);
-  if (!error) acceptor.bind(local, error);
-  if (!error) acceptor.listen(asio::socket_base::max_listen_connections, error);
-  if (error) return TransportError::kListen;
-  this->impl->AcceptNext();
-  return acceptor.local_endpoint().port();
+  state::Result<std::uint16_t, TransportError> port =
+      internal::OpenAcceptor(this->impl->acceptor, endpoint);
+  if (state::IsOk(port)) this->impl->AcceptNext();
+  return port;
 }
 
 void HttpServer::Shutdown() {
--- a/src/transport/peer_channel_connection.cc
+++ b/src/transport/peer_channel_connection.cc
@@ -75,6 +75,7 @@
 void PeerChannelConnection::Write(std::string frame) {
   this->is_writing = true;
   this->writing = std::move(frame);
+  this->channel->counters->bytes_sent += this->writing.size();
   asio::async_write(
       this->socket, asio::buffer(this->writing),
       [self = this->shared_from_this()](const boost::system::error_code& error,
--- a/src/transport/peer_counters.h
+++ b/src/transport/peer_counters.h
@@ -9,6 +9,7 @@
 /// \brief Counts that all connections of a PeerTcpLink share.
 struct PeerCounters {
   std::atomic<std::uint64_t> messages_sent{0};
+  std::atomic<std::uint64_t> bytes_sent{0};
   std::atomic<std::uint64_t> messages_received{0};
   std::atomic<std::uint64_t> messages_dropped{0};
   std::atomic<std::uint64_t> unknown_messages{0};
--- a/src/transport/peer_link_metrics.cc
+++ b/src/transport/peer_link_metrics.cc
@@ -16,6 +16,8 @@
 constexpr CounterRow kRows[] = {
     {"banyanknot_peer_messages_sent_total", "Messages to other hosts.",
      &PeerLinkCounters::messages_sent},
+    {"banyanknot_peer_bytes_sent_total", "Bytes of frames sent to other hosts.",
+     &PeerLinkCounters::bytes_sent},
     {"banyanknot_peer_messages_received_total", "Messages of other hosts.",
      &PeerLinkCounters::messages_received},
     {"banyanknot_peer_messages_dropped_total",
--- a/src/transport/peer_tcp_link.cc
+++ b/src/transport/peer_tcp_link.cc
@@ -14,6 +14,7 @@
 
 #include "banyanknot/protocol/peer_codec.h"
 #include "banyanknot/state/sharded_table.h"
+#include "transport/open_acceptor.h"
 #include "transport/peer_channel.h"
 #include "transport/peer_counters.h"
 #include "transport/peer_receiver.h"
@@ -128,19 +129,9 @@
 
 state::Result<std::uint16_t, TransportError> PeerTcpLink::Listen(
     const state::Endpoint& endpoint) {
-  boost::system::error_code error;
-  const asio::ip::address address =
-      asio::ip::make_address(endpoint.address, error);
-  if (error) return TransportError::kResolve;
-  const tcp::endpoint local(address, endpoint.port);
-  tcp::acceptor& acceptor = this->impl->acceptor;
-  acceptor.open(local.protocol(), error);
-  if (!error) acceptor.set_option(tcp::acceptor::reuse_address(true), error);
-  if (!error) acceptor.bind(local, error);
-  if (!error) acceptor.listen(asio::socket_base::max_listen_connections, error);
-  if (error) return TransportError::kListen;
-  const std::uint16_t port = acceptor.local_endpoint().port();
-  this->impl->AcceptNext();
+  state::Result<std::uint16_t, TransportError> port =
+      internal::OpenAcceptor(this->impl->acceptor, endpoint);
+  if (state::IsOk(port)) this->impl->AcceptNext();
   return port;
 }
 
@@ -185,11 +176,11 @@
 
 PeerLinkCounters PeerTcpLink::Counters() const {
   const internal::PeerCounters& counters = *this->impl->counters;
-  return {counters.messages_sent,      counters.messages_received,
-          counters.messages_dropped,   counters.unknown_messages,
-          counters.bad_frames,         counters.connections_opened,
-          counters.connections_failed, counters.connections_silent,
-          counters.connections_refused};
+  return {counters.messages_sent,      counters.bytes_sent,
+          counters.messages_received,  counters.messages_dropped,
+          counters.unknown_messages,   counters.bad_frames,
+          counters.connections_opened, counters.connections_failed,
+          counters.connections_silent, counters.connections_refused};
 }
 
 }  // namespace banyanknot::transport
--- a/test/coordination/query_faults_test.cc
+++ b/test/coordination/query_faults_test.cc
@@ -289,6 +289,14 @@
   }
 }
 
+TEST_CASE("A host without any catalogue says not run, and when to ask again") {
+  QueryHarness harness;
+  harness.Ask(harness.MakeQuery());
+  REQUIRE(harness.answers.size() == 1);
+  CHECK(harness.answers.front().outcome == Outcome::kNotRun);
+  CHECK(harness.answers.front().retry_after.count() > 0);
+}
+
 TEST_CASE("Sub-requests end before their query and before their permit") {
   QueryHarness harness;
   Publish(harness.catalogue, MakeService(4, 2), 1);
--- a/test/transport/peer_tcp_link_test.cc
+++ b/test/transport/peer_tcp_link_test.cc
@@ -93,6 +93,7 @@
   CHECK(west.handler.Envelopes()[0].incarnation == 5);
   CHECK(east.link.Counters().connections_opened == 1);
   CHECK(east.link.Counters().messages_sent == 50);
+  CHECK(east.link.Counters().bytes_sent > 50);
   CHECK(west.link.Counters().messages_received == 50);
 }
 
