Never block a thread while looking for a caller's close

Cause: a wait for readability may end although nothing can be read; the look that followed was a blocking read and held the connection's strand until the caller sent more. Ruled out: the query (none was in flight) and the read timeout. The client's watch of idle connections took the same sign for a close. Change: sockets of callers don't block, an empty look is repeated; an idle connection to a backend server is closed only if it really was. A test sends 300 requests in two parts. Conclusion: no look may block; the pool no longer drops good connections.

--- a/src/coordination/servers/warmth_trial.cc
+++ b/src/coordination/servers/warmth_trial.cc
@@ -66,12 +66,12 @@
   request.deadline = permit.granted_at + this->times.deadline;
   request.send_before = permit.valid_until;
   ++*this->in_flight;
-  this->backend.Send(request,
-                     [gate = &this->gate, permit,
-                      in_flight = this->in_flight](BackendResult result) {
-                       gate->Release(permit, result);
-                       --*in_flight;
-                     });
+  this->backend.Send(
+      request, [gate = &this->gate, permit,
+                in_flight = this->in_flight](const BackendResult& result) {
+        gate->Release(permit, result);
+        --*in_flight;
+      });
 }
 
 }  // namespace banyanknot::coordination
--- a/src/transport/client_connection.cc
+++ b/src/transport/client_connection.cc
@@ -300,12 +300,16 @@
   }
 }
 
-void ClientConnection::WatchIdle() {
+void ClientConnection::WatchReadable() {
   this->stream.socket().async_wait(
       tcp::socket::wait_read,
       [self = this->shared_from_this()](const beast::error_code& error) {
         if (!error) self->OnIdleReadable();
       });
+}
+
+void ClientConnection::WatchIdle() {
+  this->WatchReadable();
   this->timer.expires_after(this->pool->IdleLifetime());
   this->timer.async_wait(
       [self = this->shared_from_this()](const beast::error_code& error) {
@@ -315,6 +319,11 @@
 
 void ClientConnection::OnIdleReadable() {
   if (this->is_closed || this->current != nullptr) return;
+  // The wait may end although there is nothing to read.
+  if (!this->IsClosedByServer()) {
+    this->WatchReadable();
+    return;
+  }
   const bool was_idle = this->pool->TakeIdle(this->shared_from_this());
   // If a call is on its way here, it finds the connection closed and goes on.
   this->CloseNow();
--- a/src/transport/client_connection.h
+++ b/src/transport/client_connection.h
@@ -50,6 +50,7 @@
   void Read();
   void OnRead(const boost::beast::error_code& error);
   void Free();
+  void WatchReadable();
   void WatchIdle();
   void OnIdleReadable();
   void WatchSilence();
--- a/src/transport/http_server.cc
+++ b/src/transport/http_server.cc
@@ -59,6 +59,10 @@
         read_timer(this->stream.get_executor()) {}
 
   void Start() {
+    // A look for a close must never block its thread: a wait for readability
+    // may end although there is nothing to read.
+    beast::error_code ignored;
+    this->stream.socket().non_blocking(true, ignored);
     asio::dispatch(this->stream.get_executor(),
                    [self = this->shared_from_this()] { self->ReadNext(); });
   }
@@ -252,7 +256,12 @@
             asio::buffer(&byte, 1), tcp::socket::message_peek, peek_error);
         if (!peek_error && peeked > 0) return;
         const std::shared_ptr<Exchange> open = exchange.lock();
-        if (open != nullptr) open->NotifyClosed();
+        if (open == nullptr) return;
+        if (peek_error == asio::error::would_block) {
+          self->WatchForClose(open);
+        } else {
+          open->NotifyClosed();
+        }
       });
 }
 
--- a/test/transport/http_server_test.cc
+++ b/test/transport/http_server_test.cc
@@ -11,6 +11,7 @@
 #include <string>
 #include <vector>
 
+#include "banyanknot/transport/asio_timer_service.h"
 #include "banyanknot/transport/io_threads.h"
 #include "transport/peer_link_fakes.h"
 
@@ -19,9 +20,12 @@
 
 using boost::asio::ip::tcp;
 
-// Echoes bodies; keeps the exchange of `/keep` and drops that of `/drop`.
+// Echoes bodies, that of `/later` from another thread a moment later; keeps the
+// exchange of `/keep` and drops that of `/drop`.
 class EchoHandler : public HttpHandler {
  public:
+  explicit EchoHandler(AsioTimerService& timers) : timers(timers) {}
+
   void Handle(std::shared_ptr<HttpExchange> exchange) override {
     const std::string& target = exchange->Request().target;
     if (target == "/drop") return;
@@ -32,9 +36,19 @@
       this->arrived.set_value();
       return;
     }
+    if (target == "/later") {
+      this->timers.RunAt(
+          std::chrono::steady_clock::now() + state::Milliseconds(1),
+          [exchange] {
+            exchange->Respond({200, exchange->Request().body});
+          });
+      return;
+    }
     exchange->Respond({200, exchange->Request().body});
   }
 
+  AsioTimerService& timers;
+
   std::promise<void> arrived;
   std::promise<void> closed;
   std::mutex mutex;
@@ -43,7 +57,10 @@
 
 struct ServerFixture {
   explicit ServerFixture(HttpServerLimits limits = {})
-      : threads(2), server(threads.Context(), handler, limits) {
+      : threads(2),
+        timers(threads.Context()),
+        handler(timers),
+        server(threads.Context(), handler, limits) {
     this->port = state::ValueOf(this->server.Listen({"127.0.0.1", 0}));
   }
   ~ServerFixture() {
@@ -54,8 +71,9 @@
     this->threads.Stop();
   }
 
-  EchoHandler handler;
   IoThreads threads;
+  AsioTimerService timers;
+  EchoHandler handler;
   HttpServer server;
   std::uint16_t port = 0;
 };
@@ -203,6 +221,18 @@
   CHECK(caller.ReadUntil("third").find("third") != std::string::npos);
 }
 
+TEST_CASE("Requests that come in two parts are answered on one connection") {
+  ServerFixture fixture;
+  RawCaller caller(fixture.port);
+  for (int round = 0; round < 300; ++round) {
+    const std::string body = "round " + std::to_string(round) + ".";
+    const std::string request = Post("/later", body);
+    caller.Write(request.substr(0, request.size() - body.size()));
+    caller.Write(body);
+    REQUIRE(caller.ReadUntil(body).find(body) != std::string::npos);
+  }
+}
+
 TEST_CASE("Connections beyond the bound are closed and harm no other") {
   HttpServerLimits limits;
   limits.max_connections = 1;
--- a/test/transport/peer_tcp_link_test.cc
+++ b/test/transport/peer_tcp_link_test.cc
@@ -104,7 +104,7 @@
   REQUIRE(west.handler.WaitFor(1));
   std::vector<coordination::MetricSample> samples;
   west.link.CollectMetrics(samples);
-  REQUIRE(samples.size() == 9);
+  REQUIRE(samples.size() == 10);
   for (const coordination::MetricSample& sample : samples) {
     INFO(sample.name);
     const bool is_received =
