--- a/daemons/host_settings.cc
+++ b/daemons/host_settings.cc
@@ -1,18 +1,16 @@
 #include "host_settings.h"
 
 #include <array>
-#include <fstream>
-#include <sstream>
 
 #include "banyanknot/protocol/json_reader.h"
 #include "banyanknot/protocol/json_schema.h"
+#include "settings_file.h"
 
 namespace banyanknot::daemons {
 namespace {
 
 using nlohmann::json;
 
-constexpr std::size_t kMaxSettingsBytes = 1u << 20;
 constexpr std::uint64_t kMaxPort = 65535;
 constexpr std::uint64_t kMaxThreads = 256;
 
@@ -62,28 +60,13 @@
   return settings;
 }
 
-std::vector<coordination::EntryFault> OneFault(
-    const protocol::ProtocolError& error) {
-  return {{error.pointer, error.reason}};
-}
-
 }  // namespace
 
 HostSettingsResult ReadHostSettings(const std::string& file) {
-  std::ifstream stream(file);
-  if (!stream) {
-    return std::vector<coordination::EntryFault>{{"", "can't be read"}};
-  }
-  std::ostringstream text;
-  text << stream.rdbuf();
-  const state::Result<json, protocol::ProtocolError> parsed =
-      protocol::ParseJson(text.str(), kMaxSettingsBytes);
-  if (!state::IsOk(parsed)) return OneFault(state::ErrorOf(parsed));
-  const protocol::JsonSchema schema(protocol::HostSettingsSchemaText());
-  std::vector<coordination::EntryFault> faults =
-      schema.Check(state::ValueOf(parsed));
-  if (!faults.empty()) return faults;
-  protocol::JsonReader reader(state::ValueOf(parsed), "");
+  const SettingsDocument document =
+      ReadSettingsDocument(file, protocol::HostSettingsSchemaText());
+  if (!state::IsOk(document)) return state::ErrorOf(document);
+  protocol::JsonReader reader(state::ValueOf(document), "");
   HostSettings settings = ReadMembers(reader);
   if (reader.Error()) return OneFault(*reader.Error());
   return settings;
--- /dev/null
+++ b/daemons/relay_front_service.h
@@ -0,0 +1,29 @@
+#ifndef BANYANKNOT_DAEMONS_RELAY_FRONT_SERVICE_H_
+#define BANYANKNOT_DAEMONS_RELAY_FRONT_SERVICE_H_
+
+#include <memory>
+
+#include "banyanknot/coordination/clock.h"
+#include "banyanknot/coordination/routing/relay_executor.h"
+#include "banyanknot/protocol/relay_codec.h"
+#include "banyanknot/transport/http_server.h"
+
+namespace banyanknot::daemons {
+
+/// \brief Hands callers' requests to the executor and its answers back.
+class RelayFrontService : public transport::HttpHandler {
+ public:
+  RelayFrontService(const coordination::Clock& clock,
+                    const protocol::RelayCodec& codec,
+                    coordination::RelayExecutor& executor);
+  void Handle(std::shared_ptr<transport::HttpExchange> exchange) override;
+
+ private:
+  const coordination::Clock& clock;
+  const protocol::RelayCodec& codec;
+  coordination::RelayExecutor& executor;
+};
+
+}  // namespace banyanknot::daemons
+
+#endif  // BANYANKNOT_DAEMONS_RELAY_FRONT_SERVICE_H_
--- /dev/null
+++ b/daemons/relay_settings.cc
@@ -0,0 +1,60 @@
+#include "relay_settings.h"
+
+#include <optional>
+
+#include "banyanknot/protocol/json_reader.h"
+#include "banyanknot/protocol/json_schema.h"
+#include "settings_file.h"
+
+namespace banyanknot::daemons {
+namespace {
+
+constexpr std::uint64_t kMaxThreads = 256;
+
+state::Endpoint ReadEndpoint(protocol::JsonReader& reader, const char* member) {
+  const std::string text = reader.String(member);
+  const std::optional<state::Endpoint> endpoint =
+      state::EndpointFromText(text);
+  if (!endpoint) {
+    reader.Fail(protocol::ProtocolErrorCode::kMalformed, member,
+                "must be address:port with a port of at most 65535");
+  }
+  return endpoint.value_or(state::Endpoint());
+}
+
+RelaySettings ReadMembers(protocol::JsonReader& reader) {
+  RelaySettings settings;
+  settings.id = state::HostId(reader.String("id"));
+  settings.domain = state::FailureDomainId(reader.String("domain"));
+  settings.caller_listen = ReadEndpoint(reader, "caller_listen");
+  settings.ready_listen = ReadEndpoint(reader, "ready_listen");
+  settings.metrics_listen = ReadEndpoint(reader, "metrics_listen");
+  settings.source = ReadEndpoint(reader, "source");
+  settings.threads = static_cast<std::size_t>(
+      reader.UnsignedOr("threads", settings.threads, kMaxThreads));
+  settings.leave_grace =
+      reader.MillisecondsOr("leave_grace_ms", settings.leave_grace);
+  settings.stop_bound =
+      reader.MillisecondsOr("stop_bound_ms", settings.stop_bound);
+  settings.extra_request_share =
+      reader.FractionOr("extra_request_share", settings.extra_request_share);
+  settings.log_severity =
+      state::FindValue(coordination::kLogSeverityNames,
+                       reader.StringOr("log_severity", ""))
+          .value_or(settings.log_severity);
+  return settings;
+}
+
+}  // namespace
+
+RelaySettingsResult ReadRelaySettings(const std::string& file) {
+  const SettingsDocument document =
+      ReadSettingsDocument(file, protocol::RelaySettingsSchemaText());
+  if (!state::IsOk(document)) return state::ErrorOf(document);
+  protocol::JsonReader reader(state::ValueOf(document), "");
+  RelaySettings settings = ReadMembers(reader);
+  if (reader.Error()) return OneFault(*reader.Error());
+  return settings;
+}
+
+}  // namespace banyanknot::daemons
--- /dev/null
+++ b/daemons/relay_settings.h
@@ -0,0 +1,43 @@
+#ifndef BANYANKNOT_DAEMONS_RELAY_SETTINGS_H_
+#define BANYANKNOT_DAEMONS_RELAY_SETTINGS_H_
+
+#include <cstddef>
+#include <string>
+#include <vector>
+
+#include "banyanknot/coordination/entry_decoder.h"
+#include "banyanknot/coordination/log_severity.h"
+#include "banyanknot/state/endpoint.h"
+#include "banyanknot/state/identifier.h"
+#include "banyanknot/state/result.h"
+#include "banyanknot/state/util/time.h"
+
+namespace banyanknot::daemons {
+
+/// \brief Settings of one relay host.
+struct RelaySettings {
+  state::HostId id;
+  state::FailureDomainId domain;
+  state::Endpoint caller_listen;
+  state::Endpoint ready_listen;
+  state::Endpoint metrics_listen;
+  state::Endpoint source;  ///< where routes and servers are published
+  std::size_t threads = 1;
+  /// Time for the balancer to notice that the host is not ready any more: it
+  /// asks each second and takes a host out after two misses.
+  state::Duration leave_grace = state::Milliseconds(2'600);
+  state::Duration stop_bound = state::Milliseconds(5'500);
+  double extra_request_share = 0.17;
+  coordination::LogSeverity log_severity = coordination::LogSeverity::kInfo;
+};
+
+using RelaySettingsResult =
+    state::Result<RelaySettings, std::vector<coordination::EntryFault>>;
+
+/// \brief Reads and checks a settings file.
+/// \returns the settings, or every fault with its JSON pointer
+RelaySettingsResult ReadRelaySettings(const std::string& file);
+
+}  // namespace banyanknot::daemons
+
+#endif  // BANYANKNOT_DAEMONS_RELAY_SETTINGS_H_
--- /dev/null
+++ b/daemons/relay_status_service.h
@@ -0,0 +1,30 @@
+#ifndef BANYANKNOT_DAEMONS_RELAY_STATUS_SERVICE_H_
+#define BANYANKNOT_DAEMONS_RELAY_STATUS_SERVICE_H_
+
+#include <memory>
+#include <string>
+
+#include "banyanknot/coordination/metric_source.h"
+#include "banyanknot/coordination/readiness.h"
+#include "banyanknot/transport/http_server.h"
+
+namespace banyanknot::daemons {
+
+/// \brief Tells the balancer whether the host is ready, and scrapers its
+/// metrics.
+class RelayStatusService : public transport::HttpHandler {
+ public:
+  RelayStatusService(std::string ready_path,
+                     const coordination::Readiness& readiness,
+                     const coordination::MetricSource& metrics);
+  void Handle(std::shared_ptr<transport::HttpExchange> exchange) override;
+
+ private:
+  const std::string ready_path;
+  const coordination::Readiness& readiness;
+  const coordination::MetricSource& metrics;
+};
+
+}  // namespace banyanknot::daemons
+
+#endif  // BANYANKNOT_DAEMONS_RELAY_STATUS_SERVICE_H_
--- /dev/null
+++ b/daemons/relay_stop_target.h
@@ -0,0 +1,45 @@
+#ifndef BANYANKNOT_DAEMONS_RELAY_STOP_TARGET_H_
+#define BANYANKNOT_DAEMONS_RELAY_STOP_TARGET_H_
+
+#include <functional>
+
+#include "banyanknot/coordination/routing/relay_executor.h"
+#include "banyanknot/coordination/stop_target.h"
+#include "banyanknot/transport/http_server.h"
+
+namespace banyanknot::daemons {
+
+/// \brief Stops a relay host: each response closes its connection from the
+/// start of the stop, so that callers move on by themselves.
+class RelayStopTarget : public coordination::StopTarget {
+ public:
+  using StoppedHandler =
+      std::function<void(coordination::StopPhase, std::size_t)>;
+
+  RelayStopTarget(const coordination::RelayExecutor& executor,
+                  transport::HttpServer& server)
+      : executor(executor), server(server) {}
+
+  /// \brief Sets what is called once the stop has ended.
+  void OnEnd(StoppedHandler stopped_handler) {
+    this->handler = std::move(stopped_handler);
+  }
+
+  void SayGoodbye() override { this->server.StopKeepingAlive(); }
+  void StopAccepting() override { this->server.Shutdown(); }
+  std::size_t InFlight() const override {
+    return this->executor.Unanswered() + this->server.Connections();
+  }
+  void OnStopped(coordination::StopPhase phase, std::size_t left) override {
+    if (this->handler) this->handler(phase, left);
+  }
+
+ private:
+  const coordination::RelayExecutor& executor;
+  transport::HttpServer& server;
+  StoppedHandler handler;
+};
+
+}  // namespace banyanknot::daemons
+
+#endif  // BANYANKNOT_DAEMONS_RELAY_STOP_TARGET_H_
--- a/include/banyanknot/coordination/event_code.h
+++ b/include/banyanknot/coordination/event_code.h
@@ -28,6 +28,18 @@
   kServerPhase = 3002,
   kHostState = 3003,
   kHostLifecycle = 3004,
+  kRequestAnswered = 4001,
+  kRequestNotWhole = 4002,
+  kRoutesInForce = 5001,
+  kServerRegistered = 5002,
+  kServerRemoved = 5003,
+  kServerDoubted = 5004,
+  kServerCleared = 5005,
+  kSourceLost = 5006,
+  kSourceRegained = 5007,
+  kSourceEntryUnreadable = 5008,
+  kSettingsReloaded = 5009,
+  kSettingsRefused = 5010,
 };
 
 /// \brief What is fixed about an event.
@@ -39,7 +51,7 @@
 };
 
 /// \brief Every event, ordered by number.
-inline constexpr std::array<EventDescription, 15> kEventDescriptions{{
+inline constexpr std::array<EventDescription, 27> kEventDescriptions{{
     {EventCode::kHostStarting, "host_starting", LogSeverity::kInfo,
      "The process has read its settings and starts."},
     {EventCode::kHostListening, "host_listening", LogSeverity::kInfo,
@@ -70,6 +82,31 @@
      "Another host changed its state, as this host sees it."},
     {EventCode::kHostLifecycle, "host_lifecycle", LogSeverity::kInfo,
      "This host started, became ready or is stopping."},
+    {EventCode::kRequestAnswered, "request_answered", LogSeverity::kInfo,
+     "A request got a server's reply or a whole answer; a sample of them."},
+    {EventCode::kRequestNotWhole, "request_not_whole", LogSeverity::kWarning,
+     "A request got a partial answer, a failure or a refusal."},
+    {EventCode::kRoutesInForce, "routes_in_force", LogSeverity::kInfo,
+     "A version of the routes came into force on this host."},
+    {EventCode::kServerRegistered, "server_registered", LogSeverity::kInfo,
+     "A backend server registered itself or changed what it says."},
+    {EventCode::kServerRemoved, "server_removed", LogSeverity::kInfo,
+     "A backend server is not registered any more and gets no new work."},
+    {EventCode::kServerDoubted, "server_doubted", LogSeverity::kInfo,
+     "A backend server gets no work until a check clears it."},
+    {EventCode::kServerCleared, "server_cleared", LogSeverity::kInfo,
+     "A check found out how a doubted backend server is."},
+    {EventCode::kSourceLost, "source_lost", LogSeverity::kWarning,
+     "What operators and servers publish can't be read any more."},
+    {EventCode::kSourceRegained, "source_regained", LogSeverity::kInfo,
+     "What operators and servers publish can be read again."},
+    {EventCode::kSourceEntryUnreadable, "source_entry_unreadable",
+     LogSeverity::kWarning,
+     "A published entry can't be read and is passed over."},
+    {EventCode::kSettingsReloaded, "settings_reloaded", LogSeverity::kInfo,
+     "The settings file was read again."},
+    {EventCode::kSettingsRefused, "settings_refused", LogSeverity::kError,
+     "The settings file has a fault; the settings before it stay."},
 }};
 
 /// \brief Looks up the description of an event.
--- /dev/null
+++ b/include/banyanknot/coordination/routing/relay_journal.h
@@ -0,0 +1,57 @@
+#ifndef BANYANKNOT_COORDINATION_ROUTING_RELAY_JOURNAL_H_
+#define BANYANKNOT_COORDINATION_ROUTING_RELAY_JOURNAL_H_
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <mutex>
+#include <vector>
+
+#include "banyanknot/coordination/event_log.h"
+#include "banyanknot/coordination/metric_source.h"
+#include "banyanknot/coordination/routing/relay_run.h"
+#include "banyanknot/state/routing/relay_outcome.h"
+
+namespace banyanknot::coordination {
+
+/// \brief Writes down how requests ended, for the log and the metrics.
+///
+/// Thread-safe. Requests that did not end well are all logged up to a rate;
+/// of those that did, one in many. What is left out is counted.
+class RelayJournal : public MetricSource {
+ public:
+  explicit RelayJournal(EventLog& log) : log(log) {}
+
+  /// \brief Notes the end of a run.
+  void NoteEnd(const RelayRun& run, const RelayAnswer& answer,
+               state::TimePoint now);
+  /// \brief Notes a request that no run was made for.
+  void NoteRefusal(const state::RelayRequest& request,
+                   state::RelayOutcome outcome, state::TimePoint now);
+
+  void CollectMetrics(std::vector<MetricSample>& samples) const override;
+
+ private:
+  static constexpr std::size_t kOutcomes = state::kRelayOutcomeNames.size();
+  /// Upper bounds of the latency histogram, in milliseconds.
+  static constexpr std::array<int, 10> kBoundsMs{5,   10,  25,  50,   100,
+                                                 150, 250, 500, 1000, 4000};
+
+  bool MayLog(state::RelayOutcome outcome, state::TimePoint now);
+  void Count(state::RelayOutcome outcome, state::Duration time);
+
+  EventLog& log;
+  mutable std::mutex mutex;
+  std::array<std::uint64_t, kOutcomes> ended{};
+  std::array<std::uint64_t, kBoundsMs.size() + 1> times{};
+  double seconds = 0;
+  RelayCounts totals;
+  std::uint64_t unlogged = 0;
+  std::uint64_t successes = 0;
+  std::int64_t log_second = 0;
+  unsigned logged_in_second = 0;
+};
+
+}  // namespace banyanknot::coordination
+
+#endif  // BANYANKNOT_COORDINATION_ROUTING_RELAY_JOURNAL_H_
--- /dev/null
+++ b/include/banyanknot/coordination/routing/routing_intake.h
@@ -0,0 +1,63 @@
+#ifndef BANYANKNOT_COORDINATION_ROUTING_ROUTING_INTAKE_H_
+#define BANYANKNOT_COORDINATION_ROUTING_ROUTING_INTAKE_H_
+
+#include <functional>
+#include <set>
+#include <vector>
+
+#include "banyanknot/coordination/event_log.h"
+#include "banyanknot/coordination/routing/route_directory.h"
+#include "banyanknot/coordination/routing/routing_source.h"
+#include "banyanknot/coordination/routing/server_checker.h"
+#include "banyanknot/coordination/routing/server_directory.h"
+#include "banyanknot/coordination/timer_service.h"
+
+namespace banyanknot::coordination {
+
+/// \brief Whether servers that vanish may only have lapsed for a moment.
+enum class RemovalMode {
+  kAtOnce,  ///< a removal is the server's end
+  kLapse,   ///< the source was away: its entry may come back in a moment
+};
+
+/// \brief Applies what is published to the directories.
+///
+/// Called by one thread at a time.
+class RoutingIntake {
+ public:
+  using RoutesListener = std::function<void(const state::RouteTable&)>;
+
+  RoutingIntake(const Clock& clock, TimerService& timers, RelayClient& client,
+                RouteDirectory& routes, ServerDirectory& servers,
+                ServerChecker& checker, EventLog& log);
+
+  /// \brief Sets what is told of each version that comes into force.
+  void OnRoutes(RoutesListener listener);
+
+  void Apply(const RoutingBatch& batch, RemovalMode mode);
+  /// \brief Applies a batch that holds everything: the rest is removed.
+  void ApplyAll(const RoutingBatch& batch, RemovalMode mode);
+
+ private:
+  void ApplyOne(const RoutingChange& change, RemovalMode mode);
+  void TakeRoutes(const state::RouteTablePtr& table);
+  void TakeDomain(const DomainOrder& order);
+  void TakeServer(const state::RegisteredServer& server);
+  void RemoveServer(const state::InstanceId& id, RemovalMode mode);
+  void RemoveNow(const state::InstanceId& id);
+
+  const Clock& clock;
+  TimerService& timers;
+  RelayClient& client;
+  RouteDirectory& routes;
+  ServerDirectory& servers;
+  ServerChecker& checker;
+  EventLog& log;
+  RoutesListener listener;
+  std::mutex lapsed_mutex;
+  std::set<state::InstanceId> lapsed;  // removed unless they come back
+};
+
+}  // namespace banyanknot::coordination
+
+#endif  // BANYANKNOT_COORDINATION_ROUTING_ROUTING_INTAKE_H_
--- /dev/null
+++ b/include/banyanknot/coordination/routing/server_checker.h
@@ -0,0 +1,41 @@
+#ifndef BANYANKNOT_COORDINATION_ROUTING_SERVER_CHECKER_H_
+#define BANYANKNOT_COORDINATION_ROUTING_SERVER_CHECKER_H_
+
+#include "banyanknot/coordination/clock.h"
+#include "banyanknot/coordination/event_log.h"
+#include "banyanknot/coordination/routing/relay_client.h"
+#include "banyanknot/coordination/routing/route_directory.h"
+#include "banyanknot/coordination/routing/tracked_server.h"
+#include "banyanknot/coordination/timer_service.h"
+#include "banyanknot/state/sharded_table.h"
+
+namespace banyanknot::coordination {
+
+/// \brief Asks servers in doubt how they are until one answer clears them.
+///
+/// Nothing is asked while replies tell enough. Thread-safe.
+class ServerChecker {
+ public:
+  ServerChecker(const Clock& clock, TimerService& timers, RelayClient& client,
+                const RouteDirectory& routes, EventLog& log);
+
+  /// \brief Checks a server until it is cleared or gone.
+  void Check(const TrackedServerPtr& server);
+
+ private:
+  void Ask(const TrackedServerPtr& server);
+  void OnHealth(const TrackedServerPtr& server,
+                const std::optional<ServerHealth>& health);
+  void AskLater(const TrackedServerPtr& server);
+
+  const Clock& clock;
+  TimerService& timers;
+  RelayClient& client;
+  const RouteDirectory& routes;
+  EventLog& log;
+  state::ShardedTable<const TrackedServer*, bool> under_check;
+};
+
+}  // namespace banyanknot::coordination
+
+#endif  // BANYANKNOT_COORDINATION_ROUTING_SERVER_CHECKER_H_
--- /dev/null
+++ b/include/banyanknot/coordination/routing/source_follower.h
@@ -0,0 +1,56 @@
+#ifndef BANYANKNOT_COORDINATION_ROUTING_SOURCE_FOLLOWER_H_
+#define BANYANKNOT_COORDINATION_ROUTING_SOURCE_FOLLOWER_H_
+
+#include <atomic>
+#include <cstdint>
+
+#include "banyanknot/coordination/clock.h"
+#include "banyanknot/coordination/event_log.h"
+#include "banyanknot/coordination/random_source.h"
+#include "banyanknot/coordination/routing/routing_intake.h"
+#include "banyanknot/coordination/routing/routing_source.h"
+#include "banyanknot/coordination/timer_service.h"
+
+namespace banyanknot::coordination {
+
+/// \brief Keeps up with a RoutingSource: reads all once, then one watch at a
+/// time; reads all again when its place in the history is lost.
+///
+/// Calls after failures are spaced with jitter, so that hosts which lost the
+/// source together don't come back together. Start() begins; its callbacks
+/// follow one another, so the intake sees one batch at a time.
+class SourceFollower {
+ public:
+  SourceFollower(const Clock& clock, TimerService& timers, RandomSource& random,
+                 RoutingSource& source, RoutingIntake& intake, EventLog& log);
+
+  void Start();
+  /// \brief Tells whether everything has been read once.
+  bool HasRead() const { return this->has_read; }
+
+ private:
+  void ReadAll();
+  void OnAll(const state::Result<RoutingBatch, SourceFailure>& result);
+  void Watch();
+  void OnWatched(const state::Result<RoutingBatch, SourceFailure>& result);
+  void OnFailure(SourceFailure failure);
+  void OnSuccess();
+  RemovalMode Mode() const;
+
+  const Clock& clock;
+  TimerService& timers;
+  RandomSource& random;
+  RoutingSource& source;
+  RoutingIntake& intake;
+  EventLog& log;
+  std::uint64_t revision = 0;
+  std::atomic<bool> has_read{false};
+  bool is_lost = false;  // the last call failed
+  unsigned failures = 0;
+  state::TimePoint lost_at;
+  state::TimePoint regained_at = state::TimePoint::min();
+};
+
+}  // namespace banyanknot::coordination
+
+#endif  // BANYANKNOT_COORDINATION_ROUTING_SOURCE_FOLLOWER_H_
--- a/include/banyanknot/protocol/http_message.h
+++ b/include/banyanknot/protocol/http_message.h
@@ -2,7 +2,9 @@
 #define BANYANKNOT_PROTOCOL_HTTP_MESSAGE_H_
 
 #include <string>
+#include <vector>
 
+#include "banyanknot/state/routing/header_field.h"
 #include "banyanknot/state/util/time.h"
 
 namespace banyanknot::protocol {
@@ -12,14 +14,18 @@
   std::string method;
   std::string target;  ///< path and query part
   std::string body;
+  /// As they came. One to send that has any is sent with just these and a
+  /// length; otherwise the usual ones are added.
+  std::vector<state::HeaderField> headers;
 };
 
 /// \brief A response, free of the library that writes it.
 struct HttpResponse {
   unsigned status = 200;
   std::string body;
-  std::string content_type = "application/json";
+  std::string content_type = "application/json";  ///< none is sent if empty
   state::Duration retry_after{0};  ///< sent in whole seconds, rounded up
+  std::vector<state::HeaderField> headers;  ///< beside those above
 };
 
 }  // namespace banyanknot::protocol
--- a/include/banyanknot/protocol/json_schema.h
+++ b/include/banyanknot/protocol/json_schema.h
@@ -32,6 +32,9 @@
 /// \brief The schema of a host's settings file, as JSON text.
 const std::string& HostSettingsSchemaText();
 
+/// \brief The schema of a relay host's settings file, as JSON text.
+const std::string& RelaySettingsSchemaText();
+
 /// \brief The schema of a catalogue: an object of entry key to entry.
 const std::string& CatalogueSchemaText();
 
--- a/include/banyanknot/state/endpoint.h
+++ b/include/banyanknot/state/endpoint.h
@@ -2,7 +2,9 @@
 #define BANYANKNOT_STATE_ENDPOINT_H_
 
 #include <cstdint>
+#include <optional>
 #include <string>
+#include <string_view>
 
 namespace banyanknot::state {
 
@@ -24,6 +26,10 @@
   return endpoint.address + ":" + std::to_string(endpoint.port);
 }
 
+/// \brief Reads what ToText() wrote.
+/// \returns nothing if `text` is anything else
+std::optional<Endpoint> EndpointFromText(std::string_view text);
+
 }  // namespace banyanknot::state
 
 #endif  // BANYANKNOT_STATE_ENDPOINT_H_
--- /dev/null
+++ b/include/banyanknot/state/routing/relay_request.h
@@ -0,0 +1,26 @@
+#ifndef BANYANKNOT_STATE_ROUTING_RELAY_REQUEST_H_
+#define BANYANKNOT_STATE_ROUTING_RELAY_REQUEST_H_
+
+#include <string>
+#include <vector>
+
+#include "banyanknot/state/routing/header_field.h"
+#include "banyanknot/state/util/time.h"
+
+namespace banyanknot::state {
+
+/// \brief A caller's request that goes to backend servers unchanged.
+struct RelayRequest {
+  std::string id;  ///< the caller's, of this one try
+  std::string method;
+  std::string host;
+  std::string target;                ///< path and query part, as sent
+  std::vector<HeaderField> headers;  ///< those to pass on
+  std::string body;
+  Duration deadline{0};  ///< how long the caller waits, from `received_at`
+  TimePoint received_at;
+};
+
+}  // namespace banyanknot::state
+
+#endif  // BANYANKNOT_STATE_ROUTING_RELAY_REQUEST_H_
--- /dev/null
+++ b/include/banyanknot/state/routing/route_table.h
@@ -0,0 +1,52 @@
+#ifndef BANYANKNOT_STATE_ROUTING_ROUTE_TABLE_H_
+#define BANYANKNOT_STATE_ROUTING_ROUTE_TABLE_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "banyanknot/state/routing/route.h"
+
+namespace banyanknot::state {
+
+/// \brief All routes of one version; never changes once it is built.
+class RouteTable {
+ public:
+  RouteTable(std::uint64_t version, std::vector<Route> routes,
+             std::vector<ServiceSpec> services, CallerLimits limits);
+
+  std::uint64_t Version() const { return this->version; }
+  const CallerLimits& Limits() const { return this->limits; }
+  const std::vector<Route>& Routes() const { return this->routes; }
+  const std::vector<ServiceSpec>& Services() const { return this->services; }
+
+  /// \brief Finds the route of `host` with the longest prefix of `path`.
+  /// \param host case is ignored, and so is a port
+  /// \param path without its query
+  /// \returns null if there is none
+  const Route* Match(std::string_view host, std::string_view path) const;
+
+  /// \returns null if the version does not name the service
+  const ServiceSpec* FindService(const ServiceId& id) const;
+
+ private:
+  const std::uint64_t version;
+  const std::vector<Route> routes;
+  const std::vector<ServiceSpec> services;
+  const CallerLimits limits;
+  std::unordered_map<std::string, std::size_t> route_by_key;
+  std::unordered_map<ServiceId, std::size_t> service_by_id;
+};
+
+using RouteTablePtr = std::shared_ptr<const RouteTable>;
+
+/// \brief The host name in lower case, without a port.
+std::string NormalizeHost(std::string_view host);
+
+}  // namespace banyanknot::state
+
+#endif  // BANYANKNOT_STATE_ROUTING_ROUTE_TABLE_H_
--- a/include/banyanknot/transport/http_connection_pool.h
+++ b/include/banyanknot/transport/http_connection_pool.h
@@ -32,9 +32,13 @@
 namespace internal {
 
 class PoolCore;
+class PendingCall;
 
 }  // namespace internal
 
+/// \brief Names a call that was handed to a pool.
+using HttpCallHandle = std::shared_ptr<internal::PendingCall>;
+
 /// \brief Keep-alive connections to one endpoint.
 ///
 /// Thread-safe. Carries one call at a time a connection and never repeats one.
@@ -62,7 +66,12 @@
   HttpConnectionPool& operator=(const HttpConnectionPool&) = delete;
 
   /// \param handler called exactly once, never inside Call()
-  void Call(HttpCall call, HttpCallHandler handler);
+  /// \returns a handle for Cancel()
+  HttpCallHandle Call(HttpCall call, HttpCallHandler handler);
+
+  /// \brief Gives a call up: it is not written any more or, if it was, its
+  /// connection is closed. Its handler gets kExpired or kLost.
+  void Cancel(const HttpCallHandle& handle);
 
   /// \brief Changes the limits; connections beyond them close when idle.
   /// \pre limits.most > 0
--- a/include/banyanknot/transport/http_server.h
+++ b/include/banyanknot/transport/http_server.h
@@ -64,6 +64,13 @@
   state::Result<std::uint16_t, TransportError> Listen(
       const state::Endpoint& endpoint);
 
+  /// \brief Changes the bounds; a connection takes them up with its next
+  /// request.
+  void SetLimits(const HttpServerLimits& limits);
+
+  /// \brief Goes on accepting, but closes each connection after its response.
+  void StopKeepingAlive();
+
   /// \brief Accepts no more connections and closes those that are idle;
   /// others close after the response to the request that they have begun.
   void Shutdown();
--- /dev/null
+++ b/include/banyanknot/transport/relay_http_client.h
@@ -0,0 +1,46 @@
+#ifndef BANYANKNOT_TRANSPORT_RELAY_HTTP_CLIENT_H_
+#define BANYANKNOT_TRANSPORT_RELAY_HTTP_CLIENT_H_
+
+#include <memory>
+#include <string>
+
+#include "banyanknot/coordination/clock.h"
+#include "banyanknot/coordination/routing/relay_client.h"
+#include "banyanknot/protocol/relay_codec.h"
+#include "banyanknot/state/sharded_table.h"
+#include "banyanknot/transport/http_connection_pool.h"
+
+namespace banyanknot::transport {
+
+/// \brief Carries relayed requests over kept HTTP connections, a pool for each
+/// start of a server.
+class RelayHttpClient : public coordination::RelayClient {
+ public:
+  RelayHttpClient(boost::asio::io_context& context,
+                  const coordination::Clock& clock,
+                  const protocol::RelayCodec& codec);
+
+  std::shared_ptr<coordination::RelayCall> Send(
+      coordination::RelaySend send, coordination::RelayHandler handler) override;
+  void AskHealth(const state::InstanceId& server,
+                 const state::Endpoint& endpoint, const std::string& path,
+                 state::Duration timeout,
+                 coordination::ServerHealthHandler handler) override;
+  void Forget(const state::InstanceId& server,
+              const state::Endpoint& endpoint) override;
+
+ private:
+  using PoolPtr = std::shared_ptr<HttpConnectionPool>;
+
+  PoolPtr PoolOf(const state::InstanceId& server,
+                 const state::Endpoint& endpoint);
+
+  boost::asio::io_context& context;
+  const coordination::Clock& clock;
+  const protocol::RelayCodec& codec;
+  state::ShardedTable<std::string, PoolPtr> pools;
+};
+
+}  // namespace banyanknot::transport
+
+#endif  // BANYANKNOT_TRANSPORT_RELAY_HTTP_CLIENT_H_
--- /dev/null
+++ b/src/coordination/routing/relay_executor.cc
@@ -0,0 +1,197 @@
+#include "banyanknot/coordination/routing/relay_executor.h"
+
+#include <utility>
+
+namespace banyanknot::coordination {
+namespace {
+
+/// Waiters of one service; far more than can be served before they are due.
+constexpr std::size_t kMostWaiters = 64;
+/// Time after which a caller may ask a host that knows no routes yet again.
+constexpr state::Duration kRetryUnconfigured = state::Milliseconds(200);
+
+}  // namespace
+
+RelayExecutor::RelayExecutor(const Clock& clock, TimerService& timers,
+                             RelayClient& client, const RouteDirectory& routes,
+                             RelayPolicies policies, ServerChecker& checker,
+                             RelayJournal& journal)
+    : clock(clock),
+      timers(timers),
+      client(client),
+      routes(routes),
+      policies(policies),
+      checker(checker),
+      journal(journal),
+      line(kMostWaiters) {}
+
+std::uint64_t RelayExecutor::Refuse(const state::RelayRequest& request,
+                                    state::RelayOutcome outcome,
+                                    const RelayAnswerHandler& handler) {
+  RelayAnswer answer;
+  answer.outcome = outcome;
+  answer.retry_after = kRetryUnconfigured;
+  this->journal.NoteRefusal(request, outcome, this->clock.Now());
+  handler(answer);
+  return kNoRun;
+}
+
+std::uint64_t RelayExecutor::Run(state::RelayRequest request,
+                                 RelayAnswerHandler handler) {
+  const state::RouteTablePtr table = this->routes.Current();
+  if (table == nullptr) {
+    return this->Refuse(request, state::RelayOutcome::kNotConfigured, handler);
+  }
+  if (request.id.empty()) {
+    return this->Refuse(request, state::RelayOutcome::kInvalid, handler);
+  }
+  const std::string path = request.target.substr(0, request.target.find('?'));
+  const state::Route* route = table->Match(request.host, path);
+  if (route == nullptr) {
+    return this->Refuse(request, state::RelayOutcome::kNoRoute, handler);
+  }
+  if (request.deadline.count() <= 0) request.deadline = route->timeout;
+  const std::uint64_t number = this->next_number++;
+  std::vector<state::ServiceId> services = route->shards;
+  if (services.empty()) services.push_back(this->splits.Choose(*route));
+  Entry entry;
+  entry.run = std::make_shared<RelayRun>(
+      this->policies,
+      std::make_shared<const state::RelayRequest>(std::move(request)), table,
+      *route, std::move(services));
+  entry.handler = std::move(handler);
+  ++this->unanswered;
+  this->entries.Insert(number, std::move(entry));
+  this->Post(number,
+             [this](RelayRun& run) { return run.Start(this->clock.Now()); });
+  return number;
+}
+
+void RelayExecutor::Cancel(std::uint64_t number) {
+  this->Post(number, [this](RelayRun& run) {
+    return run.OnCallerGone(this->clock.Now());
+  });
+}
+
+void RelayExecutor::Post(std::uint64_t number, Event event) {
+  std::shared_ptr<RelayRun> run;
+  this->entries.UpdateIfPresent(number, [&](Entry& entry) {
+    if (entry.is_busy) {
+      entry.inbox.push_back(std::move(event));
+    } else {
+      entry.is_busy = true;
+      run = entry.run;
+    }
+  });
+  if (run != nullptr) this->Drain(number, run, std::move(event));
+}
+
+void RelayExecutor::Drain(std::uint64_t number,
+                          const std::shared_ptr<RelayRun>& run, Event event) {
+  std::vector<Event> events;
+  events.push_back(std::move(event));
+  while (!events.empty()) {
+    for (const Event& next : events) {
+      this->Perform(number, run, next(*run));
+    }
+    events.clear();
+    const bool is_settled = run->IsSettled();
+    bool is_done = false;
+    this->entries.UpdateIfPresent(number, [&](Entry& entry) {
+      events.swap(entry.inbox);
+      if (!events.empty()) return;
+      entry.is_busy = is_settled;  // a settled run takes no more events
+      is_done = is_settled;
+    });
+    if (is_done) this->entries.Take(number);
+  }
+}
+
+void RelayExecutor::Perform(std::uint64_t number,
+                            const std::shared_ptr<RelayRun>& run,
+                            RelayEffects effects) {
+  if (effects.answer) this->Answer(number, *run, *effects.answer);
+  for (const RelayOrder& order : effects.sends) {
+    this->Send(number, *run, order);
+  }
+  for (const std::uint32_t attempt : effects.withdrawals) {
+    this->Withdraw(number, attempt);
+  }
+  for (const TrackedServerPtr& server : effects.doubts) {
+    this->checker.Check(server);
+  }
+  for (const state::ServiceId& service : effects.waits) {
+    const Waiter waiter{number, run->Route().priority, run->End()};
+    if (this->line.Join(service, waiter)) continue;
+    this->Post(number, [this, service](RelayRun& full_run) {
+      return full_run.OnNoRoom(service, this->clock.Now());
+    });
+  }
+  if (effects.wake_at) {
+    this->timers.RunAt(*effects.wake_at, [this, number] {
+      this->Post(number, [this](RelayRun& woken_run) {
+        return woken_run.OnWake(this->clock.Now());
+      });
+    });
+  }
+  for (const state::ServiceId& service : effects.freed) {
+    this->WakeNext(service);
+  }
+}
+
+void RelayExecutor::Send(std::uint64_t number, const RelayRun& run,
+                         const RelayOrder& order) {
+  RelaySend send;
+  send.server = order.server->Record().id;
+  send.endpoint = order.server->Record().endpoint;
+  send.request = run.RequestPtr();
+  send.deadline = order.deadline;
+  send.is_repeatable = run.Route().is_repeatable;
+  const std::uint32_t attempt = order.attempt;
+  std::shared_ptr<RelayCall> call = this->client.Send(
+      std::move(send), [this, number, attempt](const RelayResult& result) {
+        this->Post(number, [this, attempt, result](RelayRun& answered_run) {
+          return answered_run.OnResult(attempt, result, this->clock.Now());
+        });
+      });
+  this->entries.UpdateIfPresent(number, [&](Entry& entry) {
+    entry.calls.emplace(attempt, std::move(call));
+  });
+}
+
+void RelayExecutor::Withdraw(std::uint64_t number, std::uint32_t attempt) {
+  std::shared_ptr<RelayCall> call;
+  this->entries.UpdateIfPresent(number, [&](Entry& entry) {
+    const auto found = entry.calls.find(attempt);
+    if (found != entry.calls.end()) call = found->second;
+  });
+  if (call != nullptr) call->Cancel();
+}
+
+void RelayExecutor::Answer(std::uint64_t number, const RelayRun& run,
+                           const RelayAnswer& answer) {
+  --this->unanswered;
+  RelayAnswerHandler handler;
+  this->entries.UpdateIfPresent(
+      number, [&handler](Entry& entry) { handler.swap(entry.handler); });
+  this->journal.NoteEnd(run, answer, this->clock.Now());
+  if (answer.outcome != state::RelayOutcome::kAbandoned) handler(answer);
+}
+
+void RelayExecutor::WakeNext(const state::ServiceId& service) {
+  const std::optional<Waiter> waiter =
+      this->line.Next(service, this->clock.Now());
+  if (!waiter) return;
+  bool is_there = false;
+  this->entries.ReadIfPresent(
+      waiter->run, [&is_there](const Entry& /*entry*/) { is_there = true; });
+  if (!is_there) {
+    this->WakeNext(service);
+    return;
+  }
+  this->Post(waiter->run, [this, service](RelayRun& run) {
+    return run.OnRoom(service, this->clock.Now());
+  });
+}
+
+}  // namespace banyanknot::coordination
--- /dev/null
+++ b/src/coordination/routing/routing_intake.cc
@@ -0,0 +1,148 @@
+#include "banyanknot/coordination/routing/routing_intake.h"
+
+#include <algorithm>
+#include <string>
+#include <utility>
+
+namespace banyanknot::coordination {
+namespace {
+
+/// Servers that lapsed while the source was away are back within two seconds
+/// of its return; a little more for the way here.
+constexpr state::Duration kLapseGrace = state::Milliseconds(2'300);
+
+}  // namespace
+
+RoutingIntake::RoutingIntake(const Clock& clock, TimerService& timers,
+                             RelayClient& client, RouteDirectory& routes,
+                             ServerDirectory& servers, ServerChecker& checker,
+                             EventLog& log)
+    : clock(clock),
+      timers(timers),
+      client(client),
+      routes(routes),
+      servers(servers),
+      checker(checker),
+      log(log) {}
+
+void RoutingIntake::OnRoutes(RoutesListener routes_listener) {
+  this->listener = std::move(routes_listener);
+}
+
+void RoutingIntake::Apply(const RoutingBatch& batch, RemovalMode mode) {
+  for (const RoutingChange& change : batch.changes) {
+    this->ApplyOne(change, mode);
+  }
+}
+
+void RoutingIntake::ApplyAll(const RoutingBatch& batch, RemovalMode mode) {
+  std::set<state::InstanceId> present;
+  std::set<state::FailureDomainId> out;
+  for (const RoutingChange& change : batch.changes) {
+    if (const state::RegisteredServer* server =
+            std::get_if<state::RegisteredServer>(&change)) {
+      present.insert(server->id);
+    } else if (const DomainOrder* order = std::get_if<DomainOrder>(&change)) {
+      out.insert(order->domain);
+    }
+  }
+  for (const state::FailureDomainId& domain : this->servers.DomainsOut()) {
+    if (out.count(domain) == 0) this->TakeDomain({domain, false});
+  }
+  this->Apply(batch, mode);
+  for (const state::InstanceId& id : this->servers.Ids()) {
+    if (present.count(id) == 0) this->RemoveServer(id, mode);
+  }
+}
+
+void RoutingIntake::ApplyOne(const RoutingChange& change, RemovalMode mode) {
+  if (const state::RouteTablePtr* table =
+          std::get_if<state::RouteTablePtr>(&change)) {
+    this->TakeRoutes(*table);
+  } else if (const DomainOrder* order = std::get_if<DomainOrder>(&change)) {
+    this->TakeDomain(*order);
+  } else if (const state::RegisteredServer* server =
+                 std::get_if<state::RegisteredServer>(&change)) {
+    this->TakeServer(*server);
+  } else if (const ServerRemoval* removal =
+                 std::get_if<ServerRemoval>(&change)) {
+    this->RemoveServer(removal->id, mode);
+  } else if (const UnreadableEntry* entry =
+                 std::get_if<UnreadableEntry>(&change)) {
+    this->log.Write(EventCode::kSourceEntryUnreadable,
+                    {{"key", entry->key}, {"reason", entry->reason}});
+  }
+}
+
+void RoutingIntake::TakeRoutes(const state::RouteTablePtr& table) {
+  if (!this->routes.Offer(table)) return;
+  this->servers.ApplyServices(*table);
+  if (this->listener) this->listener(*table);
+  this->log.Write(EventCode::kRoutesInForce,
+                  {{"version", std::to_string(table->Version())},
+                   {"routes", std::to_string(table->Routes().size())},
+                   {"services", std::to_string(table->Services().size())}});
+}
+
+void RoutingIntake::TakeDomain(const DomainOrder& order) {
+  const std::vector<TrackedServerPtr> affected =
+      this->servers.SetDomainOut(order.domain, order.is_out);
+  for (const TrackedServerPtr& server : affected) {
+    if (!order.is_out) this->checker.Check(server);
+  }
+  this->log.Write(EventCode::kDomainState,
+                  {{"domain", order.domain.Text()},
+                   {"state", order.is_out ? "out" : "in"},
+                   {"servers", std::to_string(affected.size())}});
+}
+
+void RoutingIntake::TakeServer(const state::RegisteredServer& server) {
+  {
+    const std::lock_guard<std::mutex> lock(this->lapsed_mutex);
+    this->lapsed.erase(server.id);
+  }
+  const TrackedServerPtr replaced = this->servers.Put(server);
+  if (replaced != nullptr) {
+    this->client.Forget(server.id, replaced->Record().endpoint);
+  }
+  this->log.Write(
+      EventCode::kServerRegistered,
+      {{"server", server.id.Text()},
+       {"service", server.service.Text()},
+       {"address", ToText(server.endpoint)},
+       {"domain", server.domain.Text()},
+       {"leaving", server.is_leaving ? "true" : "false"},
+       {"cold_ms", std::to_string(state::ToMilliseconds(server.cold_for))},
+       {"started", std::to_string(server.started_unix_ms)}});
+}
+
+void RoutingIntake::RemoveServer(const state::InstanceId& id,
+                                 RemovalMode mode) {
+  if (mode == RemovalMode::kAtOnce) {
+    this->RemoveNow(id);
+    return;
+  }
+  {
+    const std::lock_guard<std::mutex> lock(this->lapsed_mutex);
+    this->lapsed.insert(id);
+  }
+  this->timers.RunAt(this->clock.Now() + kLapseGrace, [this, id] {
+    bool is_still_gone = false;
+    {
+      const std::lock_guard<std::mutex> lock(this->lapsed_mutex);
+      is_still_gone = this->lapsed.erase(id) > 0;
+    }
+    if (is_still_gone) this->RemoveNow(id);
+  });
+}
+
+void RoutingIntake::RemoveNow(const state::InstanceId& id) {
+  const TrackedServerPtr removed = this->servers.Remove(id);
+  if (removed == nullptr) return;
+  this->client.Forget(id, removed->Record().endpoint);
+  this->log.Write(EventCode::kServerRemoved,
+                  {{"server", id.Text()},
+                   {"service", removed->Record().service.Text()}});
+}
+
+}  // namespace banyanknot::coordination
--- /dev/null
+++ b/src/coordination/routing/server_checker.cc
@@ -0,0 +1,70 @@
+#include "banyanknot/coordination/routing/server_checker.h"
+
+#include <utility>
+
+namespace banyanknot::coordination {
+namespace {
+
+/// Several times what a healthy server takes, a short pause included.
+constexpr state::Duration kHealthTimeout = state::Milliseconds(400);
+
+}  // namespace
+
+ServerChecker::ServerChecker(const Clock& clock, TimerService& timers,
+                             RelayClient& client, const RouteDirectory& routes,
+                             EventLog& log)
+    : clock(clock), timers(timers), client(client), routes(routes), log(log) {}
+
+void ServerChecker::Check(const TrackedServerPtr& server) {
+  if (!this->under_check.Insert(server.get(), true)) return;
+  this->log.Write(EventCode::kServerDoubted,
+                  {{"server", server->Record().id.Text()},
+                   {"service", server->Record().service.Text()},
+                   {"doubt", std::string(server->DoubtName())}});
+  this->AskLater(server);
+}
+
+void ServerChecker::AskLater(const TrackedServerPtr& server) {
+  this->timers.RunAt(this->clock.Now() + server->CheckDelay(),
+                     [this, server] { this->Ask(server); });
+}
+
+void ServerChecker::Ask(const TrackedServerPtr& server) {
+  const state::RouteTablePtr table = this->routes.Current();
+  const state::RegisteredServer& record = server->Record();
+  const state::ServiceSpec* spec =
+      table == nullptr ? nullptr : table->FindService(record.service);
+  if (!server->NeedsCheck() || spec == nullptr) {
+    this->under_check.Take(server.get());
+    return;
+  }
+  this->client.AskHealth(record.id, record.endpoint, spec->health_path,
+                         kHealthTimeout,
+                         [this, server](std::optional<ServerHealth> health) {
+                           this->OnHealth(server, health);
+                         });
+}
+
+void ServerChecker::OnHealth(const TrackedServerPtr& server,
+                             const std::optional<ServerHealth>& health) {
+  const state::TimePoint now = this->clock.Now();
+  const state::RegisteredServer& record = server->Record();
+  if (!health || !health->is_healthy) {
+    server->NoteCheckFailed();
+    this->AskLater(server);
+    return;
+  }
+  this->under_check.Take(server.get());
+  if (health->server != record.id) {
+    server->MarkLeaving();
+  } else {
+    server->Clear(health->cold_for, now);
+  }
+  this->log.Write(
+      EventCode::kServerCleared,
+      {{"server", record.id.Text()},
+       {"found", health->server.Text()},
+       {"cold_ms", std::to_string(state::ToMilliseconds(health->cold_for))}});
+}
+
+}  // namespace banyanknot::coordination
--- /dev/null
+++ b/src/coordination/routing/server_directory.cc
@@ -0,0 +1,176 @@
+#include "banyanknot/coordination/routing/server_directory.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace banyanknot::coordination {
+namespace {
+
+/// Hosts that may share a server's connections; twice the fleets of today, so
+/// that hosts which are being replaced find room too.
+constexpr std::size_t kHostsPerServer = 12;
+/// Most requests that one host has at one server.
+constexpr std::size_t kMostConnections = 8;
+/// What work in another failure domain costs beside its time there: the way
+/// and its bytes.
+constexpr state::Duration kOtherDomainCost = state::Milliseconds(2);
+
+bool IsSameStart(const state::RegisteredServer& left,
+                 const state::RegisteredServer& right) {
+  return left.endpoint == right.endpoint && left.service == right.service &&
+         left.started_unix_ms == right.started_unix_ms;
+}
+
+bool Contains(const std::vector<state::InstanceId>& ids,
+              const state::InstanceId& id) {
+  return std::find(ids.begin(), ids.end(), id) != ids.end();
+}
+
+}  // namespace
+
+ServerDirectory::ServerDirectory(const Clock& clock,
+                                 state::FailureDomainId own_domain)
+    : clock(clock), own_domain(std::move(own_domain)) {}
+
+std::size_t ServerDirectory::ConnectionLimitOf(
+    const state::ServiceId& service) const {
+  return this->connection_limits.Find(service).value_or(1);
+}
+
+TrackedServerPtr ServerDirectory::Put(const state::RegisteredServer& record) {
+  const state::TimePoint now = this->clock.Now();
+  TrackedServerPtr known = this->by_id.Find(record.id).value_or(nullptr);
+  if (known != nullptr && IsSameStart(known->Record(), record)) {
+    known->Update(record, now);
+    return nullptr;
+  }
+  if (known != nullptr) this->Remove(record.id);
+  const TrackedServerPtr added = std::make_shared<TrackedServer>(
+      record, this->ConnectionLimitOf(record.service));
+  if (record.cold_for.count() > 0) added->SetColdFor(record.cold_for, now);
+  {
+    const std::lock_guard<std::mutex> lock(this->domains_mutex);
+    added->SetDomainOut(this->domains_out.count(record.domain) > 0);
+  }
+  this->by_id.Insert(record.id, added);
+  this->AddToPool(added);
+  return known;
+}
+
+TrackedServerPtr ServerDirectory::Remove(const state::InstanceId& id) {
+  const TrackedServerPtr server = this->by_id.Take(id).value_or(nullptr);
+  if (server == nullptr) return nullptr;
+  server->MarkLeaving();
+  this->TakeFromPool(server);
+  return server;
+}
+
+std::vector<state::InstanceId> ServerDirectory::Ids() const {
+  std::vector<state::InstanceId> ids;
+  this->by_id.ForEach([&ids](const state::InstanceId& id,
+                             const TrackedServerPtr& /*server*/) {
+    ids.push_back(id);
+  });
+  return ids;
+}
+
+void ServerDirectory::AddToPool(const TrackedServerPtr& server) {
+  this->by_service.Update(server->Record().service, [&server](Pool& pool) {
+    std::vector<TrackedServerPtr> servers;
+    if (pool != nullptr) servers = *pool;
+    servers.push_back(server);
+    pool = std::make_shared<const std::vector<TrackedServerPtr>>(
+        std::move(servers));
+  });
+}
+
+void ServerDirectory::TakeFromPool(const TrackedServerPtr& server) {
+  this->by_service.UpdateIfPresent(
+      server->Record().service, [&server](Pool& pool) {
+        std::vector<TrackedServerPtr> servers = *pool;
+        servers.erase(std::remove(servers.begin(), servers.end(), server),
+                      servers.end());
+        pool = std::make_shared<const std::vector<TrackedServerPtr>>(
+            std::move(servers));
+      });
+}
+
+ServerDirectory::Pool ServerDirectory::PoolOf(
+    const state::ServiceId& service) const {
+  static const Pool empty =
+      std::make_shared<const std::vector<TrackedServerPtr>>();
+  return this->by_service.Find(service).value_or(empty);
+}
+
+std::vector<TrackedServerPtr> ServerDirectory::SetDomainOut(
+    const state::FailureDomainId& domain, bool is_out) {
+  {
+    const std::lock_guard<std::mutex> lock(this->domains_mutex);
+    if (is_out) {
+      if (!this->domains_out.insert(domain).second) return {};
+    } else if (this->domains_out.erase(domain) == 0) {
+      return {};
+    }
+  }
+  std::vector<TrackedServerPtr> servers;
+  this->by_id.ForEach([&](const state::InstanceId& /*id*/,
+                          const TrackedServerPtr& server) {
+    if (server->Record().domain == domain) servers.push_back(server);
+  });
+  const state::TimePoint now = this->clock.Now();
+  for (const TrackedServerPtr& server : servers) {
+    if (!is_out) server->Suspect(ServerDoubt::kDomainReturned, now);
+    server->SetDomainOut(is_out);
+  }
+  return servers;
+}
+
+std::vector<state::FailureDomainId> ServerDirectory::DomainsOut() const {
+  const std::lock_guard<std::mutex> lock(this->domains_mutex);
+  return {this->domains_out.begin(), this->domains_out.end()};
+}
+
+void ServerDirectory::ApplyServices(const state::RouteTable& table) {
+  for (const state::ServiceSpec& spec : table.Services()) {
+    const std::size_t limit = std::clamp<std::size_t>(
+        spec.max_connections / kHostsPerServer, 1, kMostConnections);
+    this->connection_limits.Update(spec.id,
+                                   [limit](std::size_t& kept) { kept = limit; });
+    for (const TrackedServerPtr& server : *this->PoolOf(spec.id)) {
+      server->SetConnectionLimit(limit);
+    }
+  }
+}
+
+TrackedServerPtr ServerDirectory::Pick(
+    const state::ServiceId& service,
+    const std::vector<state::InstanceId>& tried, state::TimePoint now) {
+  const Pool pool = this->PoolOf(service);
+  TrackedServerPtr best;
+  state::Duration best_cost{0};
+  for (const TrackedServerPtr& server : *pool) {
+    if (Contains(tried, server->Record().id)) continue;
+    std::optional<state::Duration> cost = server->Cost(now);
+    if (!cost) continue;
+    if (server->Record().domain != this->own_domain) *cost += kOtherDomainCost;
+    if (best == nullptr || *cost < best_cost) {
+      best = server;
+      best_cost = *cost;
+    }
+  }
+  if (best == nullptr || !best->TryBegin(now)) return nullptr;
+  return best;
+}
+
+bool ServerDirectory::HasUsable(const state::ServiceId& service,
+                                const std::vector<state::InstanceId>& tried,
+                                state::TimePoint now) const {
+  const Pool pool = this->PoolOf(service);
+  return std::any_of(pool->begin(), pool->end(),
+                     [&](const TrackedServerPtr& server) {
+                       return server->IsUsable(now) &&
+                              !Contains(tried, server->Record().id);
+                     });
+}
+
+}  // namespace banyanknot::coordination
--- /dev/null
+++ b/src/coordination/routing/source_follower.cc
@@ -0,0 +1,120 @@
+#include "banyanknot/coordination/routing/source_follower.h"
+
+#include <algorithm>
+#include <string>
+
+namespace banyanknot::coordination {
+namespace {
+
+/// How long a watch waits. A connection that went silent is found out within
+/// it and the client's own slack: well inside the 3 s that a change may take
+/// plus the 4 s that a host has to regain contact.
+constexpr state::Duration kWatchWait = state::Milliseconds(2'500);
+constexpr std::int64_t kFirstDelayMs = 40;
+constexpr std::int64_t kLongestDelayMs = 400;
+constexpr unsigned kMostDoublings = 4;
+/// Removals are taken for lapses so long after the source returned.
+constexpr state::Duration kLapseWindow = state::Milliseconds(2'500);
+
+}  // namespace
+
+SourceFollower::SourceFollower(const Clock& clock, TimerService& timers,
+                               RandomSource& random, RoutingSource& source,
+                               RoutingIntake& intake, EventLog& log)
+    : clock(clock),
+      timers(timers),
+      random(random),
+      source(source),
+      intake(intake),
+      log(log) {}
+
+void SourceFollower::Start() { this->ReadAll(); }
+
+void SourceFollower::ReadAll() {
+  this->source.ReadAll(
+      [this](const state::Result<RoutingBatch, SourceFailure>& result) {
+        this->OnAll(result);
+      });
+}
+
+void SourceFollower::OnAll(
+    const state::Result<RoutingBatch, SourceFailure>& result) {
+  if (!state::IsOk(result)) {
+    this->OnFailure(state::ErrorOf(result));
+    return;
+  }
+  this->OnSuccess();
+  const RoutingBatch& batch = state::ValueOf(result);
+  this->intake.ApplyAll(batch, this->Mode());
+  this->revision = batch.revision;
+  this->has_read = true;
+  this->Watch();
+}
+
+void SourceFollower::Watch() {
+  this->source.Watch(
+      this->revision, kWatchWait,
+      [this](const state::Result<RoutingBatch, SourceFailure>& result) {
+        this->OnWatched(result);
+      });
+}
+
+void SourceFollower::OnWatched(
+    const state::Result<RoutingBatch, SourceFailure>& result) {
+  if (!state::IsOk(result)) {
+    if (state::ErrorOf(result) == SourceFailure::kHistoryGone) {
+      this->has_read = false;
+    }
+    this->OnFailure(state::ErrorOf(result));
+    return;
+  }
+  this->OnSuccess();
+  const RoutingBatch& batch = state::ValueOf(result);
+  this->intake.Apply(batch, this->Mode());
+  this->revision = std::max(this->revision, batch.revision);
+  this->Watch();
+}
+
+void SourceFollower::OnFailure(SourceFailure failure) {
+  const state::TimePoint now = this->clock.Now();
+  if (!this->is_lost) {
+    this->is_lost = true;
+    this->lost_at = now;
+    this->log.Write(EventCode::kSourceLost,
+                    {{"failure", std::string(NameOf(failure))},
+                     {"revision", std::to_string(this->revision)}});
+  }
+  const unsigned doublings = std::min(this->failures++, kMostDoublings);
+  const std::int64_t longest =
+      std::min(kFirstDelayMs << doublings, kLongestDelayMs);
+  const std::int64_t delay =
+      longest / 2 + static_cast<std::int64_t>(this->random.Below(
+                        static_cast<std::uint64_t>(longest)));
+  this->timers.RunAt(now + state::Milliseconds(delay), [this] {
+    if (this->has_read) {
+      this->Watch();
+    } else {
+      this->ReadAll();
+    }
+  });
+}
+
+void SourceFollower::OnSuccess() {
+  this->failures = 0;
+  if (!this->is_lost) return;
+  this->is_lost = false;
+  this->regained_at = this->clock.Now();
+  this->log.Write(
+      EventCode::kSourceRegained,
+      {{"after_ms", std::to_string(state::ToMilliseconds(this->regained_at -
+                                                         this->lost_at))}});
+}
+
+RemovalMode SourceFollower::Mode() const {
+  const bool is_fresh =
+      this->regained_at != state::TimePoint::min() &&
+      this->clock.Now() - this->regained_at < kLapseWindow;
+  return is_fresh ? RemovalMode::kLapse : RemovalMode::kAtOnce;
+}
+
+}  // namespace banyanknot::coordination
--- /dev/null
+++ b/src/coordination/routing/tracked_server.cc
@@ -0,0 +1,193 @@
+#include "banyanknot/coordination/routing/tracked_server.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace banyanknot::coordination {
+namespace {
+
+/// Assumed reply time of a server that has not answered yet, in milliseconds.
+constexpr double kFirstReplyMs = 20;
+/// Weight of the newest reply in the moving averages: about the last ten count.
+constexpr double kNewestWeight = 0.1;
+/// A request unanswered for so many usual reply times tells of a pause.
+constexpr double kSilenceFactor = 2.5;
+/// Shortest silence that tells of a pause; below it is ordinary variation.
+constexpr state::Duration kLeastSilence = state::Milliseconds(25);
+/// A load report older than this says nothing of the present.
+constexpr state::Duration kLoadLifetime = state::Milliseconds(250);
+/// How much a server that fails every request costs, in reply times.
+constexpr double kFailureFactor = 8;
+constexpr state::Duration kFirstCheckDelay = state::Milliseconds(20);
+constexpr state::Duration kLongestCheckDelay = state::Milliseconds(800);
+constexpr unsigned kMostDoublings = 6;
+
+}  // namespace
+
+TrackedServer::TrackedServer(state::RegisteredServer record,
+                             std::size_t connection_limit)
+    : record(std::move(record)),
+      connection_limit(connection_limit),
+      is_leaving(this->record.is_leaving),
+      reply_ms(kFirstReplyMs) {}
+
+void TrackedServer::Update(const state::RegisteredServer& newer,
+                           state::TimePoint now) {
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  this->is_leaving = this->is_leaving || newer.is_leaving;
+  if (newer.cold_for.count() > 0) this->cold_until = now + newer.cold_for;
+}
+
+void TrackedServer::SetConnectionLimit(std::size_t limit) {
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  this->connection_limit = limit;
+}
+
+void TrackedServer::SetDomainOut(bool is_out) {
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  this->is_domain_out = is_out;
+}
+
+void TrackedServer::MarkLeaving() {
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  this->is_leaving = true;
+}
+
+void TrackedServer::Suspect(ServerDoubt new_doubt, state::TimePoint /*now*/) {
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  this->doubt = new_doubt;
+}
+
+void TrackedServer::Clear(state::Duration cold_for, state::TimePoint now) {
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  this->doubt.reset();
+  this->failures_in_row = 0;
+  if (cold_for.count() > 0) this->cold_until = now + cold_for;
+}
+
+void TrackedServer::SetColdFor(state::Duration cold_for,
+                               state::TimePoint now) {
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  this->cold_until = now + cold_for;
+}
+
+bool TrackedServer::IsUsableLocked(state::TimePoint now) const {
+  return !this->is_leaving && !this->is_domain_out && !this->doubt &&
+         now >= this->cold_until;
+}
+
+bool TrackedServer::IsUsable(state::TimePoint now) const {
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  return this->IsUsableLocked(now);
+}
+
+bool TrackedServer::NeedsCheck() const {
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  return this->doubt.has_value() && !this->is_leaving && !this->is_domain_out;
+}
+
+std::string_view TrackedServer::DoubtName() const {
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  return this->doubt ? NameOf(*this->doubt) : std::string_view();
+}
+
+void TrackedServer::NoteCheckFailed() {
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  ++this->failures_in_row;
+}
+
+state::Duration TrackedServer::CheckDelay() const {
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  const unsigned doublings = std::min(this->failures_in_row, kMostDoublings);
+  return std::min(kFirstCheckDelay * (1u << doublings), kLongestCheckDelay);
+}
+
+state::Duration TrackedServer::SilenceLocked(state::TimePoint now) const {
+  if (this->sent.empty()) return state::Duration(0);
+  const state::Duration oldest = now - this->sent.front();
+  const state::Duration usual = std::chrono::duration_cast<state::Duration>(
+      std::chrono::duration<double, std::milli>(this->reply_ms *
+                                                kSilenceFactor));
+  return oldest > std::max(usual, kLeastSilence) ? oldest : state::Duration(0);
+}
+
+std::optional<state::Duration> TrackedServer::Cost(state::TimePoint now) const {
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  if (!this->IsUsableLocked(now) ||
+      this->sent.size() >= this->connection_limit) {
+    return std::nullopt;
+  }
+  double queued = static_cast<double>(this->sent.size());
+  if (this->load && now - this->load_at < kLoadLifetime) {
+    const double all =
+        static_cast<double>(this->load->running + this->load->waiting);
+    queued += std::max(0.0, all - static_cast<double>(this->own_at_report));
+  }
+  const double slots = static_cast<double>(std::max<std::size_t>(
+      1, this->record.slots));
+  const double busy = queued / slots;
+  const double cost_ms = this->reply_ms * (1 + busy) *
+                         (1 + kFailureFactor * this->failure_share);
+  return std::chrono::duration_cast<state::Duration>(
+             std::chrono::duration<double, std::milli>(cost_ms)) +
+         this->SilenceLocked(now);
+}
+
+bool TrackedServer::TryBegin(state::TimePoint now) {
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  if (!this->IsUsableLocked(now) ||
+      this->sent.size() >= this->connection_limit) {
+    return false;
+  }
+  this->sent.push_back(now);
+  return true;
+}
+
+void TrackedServer::CountReplyLocked(state::Duration time, bool is_failure) {
+  this->reply_ms += kNewestWeight * (state::ToFractionalMilliseconds(time) -
+                                     this->reply_ms);
+  this->failure_share +=
+      kNewestWeight * ((is_failure ? 1 : 0) - this->failure_share);
+  this->failures_in_row = 0;
+}
+
+void TrackedServer::End(AttemptEnd end, state::TimePoint sent_at,
+                        state::TimePoint now,
+                        const std::optional<ReportedLoad>& new_load) {
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  const auto found = std::find(this->sent.begin(), this->sent.end(), sent_at);
+  if (found != this->sent.end()) this->sent.erase(found);
+  if (new_load) {
+    this->load = new_load;
+    this->load_at = now;
+    this->own_at_report = this->sent.size() + 1;
+  }
+  switch (end) {
+    case AttemptEnd::kReplied:
+      this->CountReplyLocked(now - sent_at, false);
+      break;
+    case AttemptEnd::kErred:
+    case AttemptEnd::kRefused:
+      this->CountReplyLocked(
+          std::chrono::duration_cast<state::Duration>(
+              std::chrono::duration<double, std::milli>(this->reply_ms)),
+          true);
+      break;
+    case AttemptEnd::kBroken:
+      this->doubt = ServerDoubt::kBroken;
+      this->failure_share += kNewestWeight * (1 - this->failure_share);
+      break;
+    case AttemptEnd::kNotSent:
+      this->doubt = ServerDoubt::kUnreachable;
+      ++this->failures_in_row;
+      break;
+    case AttemptEnd::kSilent:
+      this->doubt = ServerDoubt::kSilent;
+      ++this->failures_in_row;
+      break;
+    case AttemptEnd::kWithdrawn:
+      break;
+  }
+}
+
+}  // namespace banyanknot::coordination
--- a/src/protocol/json_schema_texts.cc
+++ b/src/protocol/json_schema_texts.cc
@@ -41,6 +41,35 @@
   return *kText;
 }
 
+// NOLINTNEXTLINE(readability-function-size)
+const std::string& RelaySettingsSchemaText() {
+  static const std::string* const kText = new std::string(R"schema({
+  "$schema": "http://json-schema.org/draft-07/schema#",
+  "title": "Settings of one relay host",
+  "type": "object",
+  "additionalProperties": false,
+  "required": ["id", "domain", "caller_listen", "ready_listen", "metrics_listen", "source"],
+  "properties": {
+    "id": {"type": "string", "minLength": 1, "maxLength": 64},
+    "domain": {"type": "string", "minLength": 1, "maxLength": 64},
+    "caller_listen": {"$ref": "#/definitions/endpoint"},
+    "ready_listen": {"$ref": "#/definitions/endpoint"},
+    "metrics_listen": {"$ref": "#/definitions/endpoint"},
+    "source": {"$ref": "#/definitions/endpoint"},
+    "threads": {"type": "integer", "minimum": 1, "maximum": 256},
+    "leave_grace_ms": {"type": "integer", "minimum": 0, "maximum": 600000},
+    "stop_bound_ms": {"type": "integer", "minimum": 0, "maximum": 600000},
+    "extra_request_share": {"type": "number", "minimum": 0, "maximum": 1},
+    "log_severity": {"enum": ["info", "warning", "error"]}
+  },
+  "definitions": {
+    "endpoint": {"type": "string", "pattern": "^[0-9.]+:[0-9]+$"}
+  }
+}
+)schema");
+  return *kText;
+}
+
 // NOLINTNEXTLINE(readability-function-size)
 const std::string& CatalogueSchemaText() {
   static const std::string* const kText = new std::string(R"schema({
--- a/src/transport/client_connection.cc
+++ b/src/transport/client_connection.cc
@@ -23,6 +23,8 @@
 namespace {
 
 constexpr std::size_t kMaxResponseBytes = 64u << 20;
+/// Header block of a reply; several times what servers send.
+constexpr std::uint32_t kMaxResponseHeaderBytes = 64u << 10;
 constexpr int kUserTimeoutMilliseconds = 2'000;
 constexpr int kKeepAliveIdleSeconds = 10;
 constexpr int kKeepAliveIntervalSeconds = 2;
@@ -55,8 +57,19 @@
              });
 }
 
+void ClientConnection::CancelCall(
+    const std::shared_ptr<PendingCall>& pending) {
+  asio::post(this->stream.get_executor(),
+             [self = this->shared_from_this(), pending] {
+               if (self->current == pending) {
+                 self->FinishWith(TransportError::kLost);
+               }
+             });
+}
+
 void ClientConnection::Begin(std::shared_ptr<PendingCall> pending) {
   this->current = std::move(pending);
+  this->current->SetCarrier(this->shared_from_this());
   if (this->is_closed) {
     this->PassOn();
     return;
@@ -201,7 +214,8 @@
 /// Gives back a call of which nothing was written.
 void ClientConnection::PassOn() {
   const std::shared_ptr<PendingCall> unsent = std::move(this->current);
-  if (this->pool->clock.Now() >= unsent->call.send_before) {
+  if (unsent->is_cancelled ||
+      this->pool->clock.Now() >= unsent->call.send_before) {
     unsent->handler(TransportError::kExpired);
   } else {
     this->pool->Call(unsent);
@@ -209,7 +223,8 @@
 }
 
 void ClientConnection::Write() {
-  if (this->pool->clock.Now() >= this->current->call.send_before) {
+  if (this->current->is_cancelled ||
+      this->pool->clock.Now() >= this->current->call.send_before) {
     // Nothing was written, so the connection is as good as before.
     const std::shared_ptr<PendingCall> expired = std::move(this->current);
     this->Free();
@@ -256,6 +271,8 @@
     std::function<void(const beast::error_code&)> handler) {
   this->parser.emplace();
   this->parser->body_limit(kMaxResponseBytes);
+  this->parser->header_limit(kMaxResponseHeaderBytes);
+  this->parser->skip(this->request.method() == http::verb::head);
   http::async_read(this->stream, this->buffer, *this->parser,
                    [handler = std::move(handler)](
                        const beast::error_code& error, std::size_t /*bytes*/) {
@@ -264,6 +281,7 @@
 }
 
 void ClientConnection::OnRead(const beast::error_code& error) {
+  if (this->current == nullptr) return;  // cancelled meanwhile
   if (error) {
     const bool is_silent_end =
         error == beast::error::timeout || error == asio::error::timed_out;
@@ -280,7 +298,8 @@
   if (this->is_silent && this->pool->OnAnswerAfterSilence()) {
     this->is_silent = false;
   }
-  if (!keep_alive || this->is_silent) {
+  // Bytes after a whole reply belong to no call.
+  if (!keep_alive || this->is_silent || this->buffer.size() > 0) {
     this->CloseNow();
   } else {
     this->Free();
@@ -335,6 +354,7 @@
 }
 
 void ClientConnection::FinishWith(TransportError error) {
+  if (this->current == nullptr) return;  // cancelled meanwhile
   const std::shared_ptr<PendingCall> finished = std::move(this->current);
   this->CloseNow();
   finished->handler(error);
--- a/src/transport/client_connection.h
+++ b/src/transport/client_connection.h
@@ -16,7 +16,7 @@
 
 /// \brief One connection of a pool; carries one call at a time.
 ///
-/// Everything but Carry(), Check(), Close() and QuietSince() runs on the
+/// Everything but Carry(), CancelCall(), Check(), Close() and QuietSince() runs on the
 /// connection's strand.
 class ClientConnection : public std::enable_shared_from_this<ClientConnection> {
  public:
@@ -25,6 +25,9 @@
   /// \brief Carries a call; first connects, or checks, where that is needed.
   void Carry(std::shared_ptr<PendingCall> pending);
 
+  /// \brief Ends a call, if it is on this connection, by closing it.
+  void CancelCall(const std::shared_ptr<PendingCall>& pending);
+
   /// \brief Checks an idle connection that was taken out of the pool.
   void Check();
 
--- a/src/transport/http_connection_pool.cc
+++ b/src/transport/http_connection_pool.cc
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "banyanknot/state/util/assert.h"
+#include "transport/pending_call.h"
 #include "transport/pool_core.h"
 
 namespace banyanknot::transport {
@@ -39,9 +40,16 @@
 
 HttpConnectionPool::~HttpConnectionPool() { this->Shutdown(); }
 
-void HttpConnectionPool::Call(HttpCall call, HttpCallHandler handler) {
-  this->core->Call(std::make_shared<internal::PendingCall>(
-      internal::PendingCall{std::move(call), std::move(handler)}));
+HttpCallHandle HttpConnectionPool::Call(HttpCall call,
+                                        HttpCallHandler handler) {
+  HttpCallHandle pending = std::make_shared<internal::PendingCall>(
+      std::move(call), std::move(handler));
+  this->core->Call(pending);
+  return pending;
+}
+
+void HttpConnectionPool::Cancel(const HttpCallHandle& handle) {
+  this->core->Cancel(handle);
 }
 
 void HttpConnectionPool::SetLimits(ConnectionLimits limits) {
--- a/src/transport/http_convert.cc
+++ b/src/transport/http_convert.cc
@@ -4,6 +4,7 @@
 #include <boost/beast/http/verb.hpp>
 #include <string>
 #include <utility>
+#include <vector>
 
 namespace banyanknot::transport::internal {
 namespace {
@@ -18,17 +19,31 @@
          kMillisecondsPerSecond;
 }
 
+std::vector<state::HeaderField> HeadersOf(const http::fields& fields) {
+  std::vector<state::HeaderField> headers;
+  for (const http::fields::value_type& field : fields) {
+    headers.push_back(
+        {std::string(field.name_string()), std::string(field.value())});
+  }
+  return headers;
+}
+
 }  // namespace
 
 protocol::HttpRequest FromBeast(http::request<http::string_body> request) {
-  return {std::string(request.method_string()), std::string(request.target()),
-          std::move(request.body())};
+  protocol::HttpRequest converted;
+  converted.method = std::string(request.method_string());
+  converted.target = std::string(request.target());
+  converted.headers = HeadersOf(request);
+  converted.body = std::move(request.body());
+  return converted;
 }
 
 protocol::HttpResponse FromBeast(http::response<http::string_body> response) {
   protocol::HttpResponse converted;
   converted.status = response.result_int();
   converted.content_type = std::string(response[http::field::content_type]);
+  converted.headers = HeadersOf(response);
   converted.body = std::move(response.body());
   return converted;
 }
@@ -39,8 +54,13 @@
   converted.version(kHttp11);
   converted.method_string(request.method);
   converted.target(request.target);
-  converted.set(http::field::host, host);
-  converted.set(http::field::content_type, "application/json");
+  if (request.headers.empty()) {
+    converted.set(http::field::host, host);
+    converted.set(http::field::content_type, "application/json");
+  }
+  for (const state::HeaderField& header : request.headers) {
+    converted.insert(header.name, header.value);
+  }
   converted.body() = std::move(request.body);
   converted.keep_alive(true);
   converted.prepare_payload();
@@ -52,7 +72,12 @@
   http::response<http::string_body> converted;
   converted.version(kHttp11);
   converted.result(response.status);
-  converted.set(http::field::content_type, response.content_type);
+  if (!response.content_type.empty()) {
+    converted.set(http::field::content_type, response.content_type);
+  }
+  for (const state::HeaderField& header : response.headers) {
+    converted.insert(header.name, header.value);
+  }
   if (response.retry_after.count() > 0) {
     converted.set(http::field::retry_after,
                   std::to_string(RoundUpToSeconds(response.retry_after)));
--- a/src/transport/http_server.cc
+++ b/src/transport/http_server.cc
@@ -37,12 +37,17 @@
 
   void AcceptNext();
   void OnAccepted(tcp::socket socket);
+  HttpServerLimits Limits() const {
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    return this->limits;
+  }
 
   asio::io_context& context;
   HttpHandler& handler;
-  const HttpServerLimits limits;
+  HttpServerLimits limits;  // under the mutex
   tcp::acceptor acceptor;
   std::atomic<bool> is_shut_down{false};
+  std::atomic<bool> keeps_alive{true};
   std::atomic<std::uint64_t> refused_connections{0};
   mutable std::mutex mutex;
   std::unordered_set<std::shared_ptr<internal::ServerConnection>> connections;
@@ -55,6 +60,7 @@
  public:
   ServerConnection(std::shared_ptr<HttpServer::Impl> server, tcp::socket socket)
       : server(std::move(server)),
+        limits(this->server->Limits()),
         stream(std::move(socket)),
         read_timer(this->stream.get_executor()) {}
 
@@ -101,6 +107,7 @@
   void Close();
 
   const std::shared_ptr<HttpServer::Impl> server;
+  HttpServerLimits limits;  // as of the current request
   beast::tcp_stream stream;
   beast::flat_buffer buffer;
   std::optional<http::request_parser<http::string_body>> parser;
@@ -164,11 +171,12 @@
 };
 
 void ServerConnection::ReadNext() {
+  this->limits = this->server->Limits();
   this->is_busy = this->buffer.size() > 0;
   this->parser.emplace();
-  this->parser->body_limit(this->server->limits.max_body_bytes);
+  this->parser->body_limit(this->limits.max_body_bytes);
   this->parser->header_limit(
-      static_cast<std::uint32_t>(this->server->limits.max_header_bytes));
+      static_cast<std::uint32_t>(this->limits.max_header_bytes));
   if (this->is_busy) {
     this->ReadRequest();
   } else if (this->server->is_shut_down) {
@@ -180,7 +188,7 @@
 
 void ServerConnection::WaitForRequest() {
   constexpr std::size_t kFirstReadBytes = 4096;
-  this->stream.expires_after(this->server->limits.idle_timeout);
+  this->stream.expires_after(this->limits.idle_timeout);
   this->stream.async_read_some(
       this->buffer.prepare(kFirstReadBytes),
       [self = this->shared_from_this()](const beast::error_code& error,
@@ -197,7 +205,7 @@
 void ServerConnection::ReadRequest() {
   this->is_busy = true;
   this->stream.expires_never();
-  this->read_timer.expires_after(this->server->limits.read_timeout);
+  this->read_timer.expires_after(this->limits.read_timeout);
   this->read_timer.async_wait(
       [self = this->shared_from_this()](const beast::error_code& error) {
         if (error) return;
@@ -214,7 +222,11 @@
 
 void ServerConnection::OnRead(const beast::error_code& error) {
   this->read_timer.cancel();
-  if (error == http::error::body_limit || error == http::error::header_limit) {
+  if (error == http::error::header_limit) {
+    this->Refuse(431, R"({"outcome":"invalid","error":"header_too_large"})");
+    return;
+  }
+  if (error == http::error::body_limit) {
     this->Refuse(413, R"({"outcome":"invalid","error":"too_large"})");
     return;
   }
@@ -269,9 +281,10 @@
                                 bool keep_alive) {
   beast::error_code ignored;
   this->stream.socket().cancel(ignored);  // ends the watch for a close
-  keep_alive = keep_alive && !this->server->is_shut_down;
+  keep_alive = keep_alive && !this->server->is_shut_down &&
+               this->server->keeps_alive;
   this->response = ToBeast(response, keep_alive);
-  this->stream.expires_after(this->server->limits.write_timeout);
+  this->stream.expires_after(this->limits.write_timeout);
   http::async_write(this->stream, this->response,
                     [self = this->shared_from_this(), keep_alive](
                         const beast::error_code& error, std::size_t /*bytes*/) {
@@ -295,7 +308,7 @@
 void ServerConnection::DiscardUntilClosed() {
   beast::error_code ignored;
   this->stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
-  this->stream.expires_after(this->server->limits.linger);
+  this->stream.expires_after(this->limits.linger);
   this->DiscardNext();
 }
 
@@ -342,23 +355,23 @@
   beast::error_code ignored;
   socket.set_option(tcp::no_delay(true), ignored);
   std::shared_ptr<internal::ServerConnection> connection;
+  const state::Duration accept_delay = this->Limits().accept_delay;
+  connection = std::make_shared<internal::ServerConnection>(
+      this->shared_from_this(), std::move(socket));
   {
     const std::lock_guard<std::mutex> lock(this->mutex);
     if (this->connections.size() >= this->limits.max_connections) {
       ++this->refused_connections;
       return;
     }
-    connection = std::make_shared<internal::ServerConnection>(
-        this->shared_from_this(), std::move(socket));
     this->connections.insert(connection);
   }
-  if (this->limits.accept_delay.count() == 0) {
+  if (accept_delay.count() == 0) {
     connection->Start();
     return;
   }
   const std::shared_ptr<asio::steady_timer> timer =
-      std::make_shared<asio::steady_timer>(this->context,
-                                           this->limits.accept_delay);
+      std::make_shared<asio::steady_timer>(this->context, accept_delay);
   timer->async_wait([timer, connection](const beast::error_code& /*error*/) {
     connection->Start();
   });
@@ -381,6 +394,13 @@
   return port;
 }
 
+void HttpServer::SetLimits(const HttpServerLimits& limits) {
+  const std::lock_guard<std::mutex> lock(this->impl->mutex);
+  this->impl->limits = limits;
+}
+
+void HttpServer::StopKeepingAlive() { this->impl->keeps_alive = false; }
+
 void HttpServer::Shutdown() {
   if (this->impl->is_shut_down.exchange(true)) return;
   asio::post(this->impl->acceptor.get_executor(), [impl = this->impl] {
--- a/src/transport/pending_call.h
+++ b/src/transport/pending_call.h
@@ -1,14 +1,39 @@
 #ifndef BANYANKNOT_SRC_TRANSPORT_PENDING_CALL_H_
 #define BANYANKNOT_SRC_TRANSPORT_PENDING_CALL_H_
 
+#include <atomic>
+#include <memory>
+#include <mutex>
+#include <utility>
+
 #include "banyanknot/transport/http_connection_pool.h"
 
 namespace banyanknot::transport::internal {
 
+class ClientConnection;
+
 /// \brief A call that waits for a connection or is on one.
-struct PendingCall {
+class PendingCall {
+ public:
+  PendingCall(HttpCall call, HttpCallHandler handler)
+      : call(std::move(call)), handler(std::move(handler)) {}
+
+  void SetCarrier(const std::shared_ptr<ClientConnection>& connection) {
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    this->carrier = connection;
+  }
+  std::shared_ptr<ClientConnection> Carrier() const {
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    return this->carrier.lock();
+  }
+
   HttpCall call;
   HttpCallHandler handler;
+  std::atomic<bool> is_cancelled{false};
+
+ private:
+  mutable std::mutex mutex;
+  std::weak_ptr<ClientConnection> carrier;
 };
 
 }  // namespace banyanknot::transport::internal
--- a/src/transport/pool_core.cc
+++ b/src/transport/pool_core.cc
@@ -92,15 +92,28 @@
   });
 }
 
+bool PoolCore::TakeWaiting(const std::shared_ptr<PendingCall>& pending) {
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  const auto found =
+      std::find(this->waiting.begin(), this->waiting.end(), pending);
+  if (found == this->waiting.end()) return false;
+  this->waiting.erase(found);
+  return true;
+}
+
 void PoolCore::Expire(const std::shared_ptr<PendingCall>& pending) {
-  {
-    const std::lock_guard<std::mutex> lock(this->mutex);
-    const auto found =
-        std::find(this->waiting.begin(), this->waiting.end(), pending);
-    if (found == this->waiting.end()) return;
-    this->waiting.erase(found);
+  if (this->TakeWaiting(pending)) pending->handler(TransportError::kLimit);
+}
+
+void PoolCore::Cancel(const std::shared_ptr<PendingCall>& pending) {
+  pending->is_cancelled = true;
+  if (this->TakeWaiting(pending)) {
+    asio::post(this->context,
+               [pending] { pending->handler(TransportError::kExpired); });
+    return;
   }
-  pending->handler(TransportError::kLimit);
+  const std::shared_ptr<ClientConnection> carrier = pending->Carrier();
+  if (carrier != nullptr) carrier->CancelCall(pending);
 }
 
 std::shared_ptr<PendingCall> PoolCore::OnFree(
--- a/src/transport/pool_core.h
+++ b/src/transport/pool_core.h
@@ -24,6 +24,7 @@
 
   /// \brief Hands the call to a connection, a new one, or the queue.
   void Call(std::shared_ptr<PendingCall> pending);
+  void Cancel(const std::shared_ptr<PendingCall>& pending);
   void SetLimits(ConnectionLimits limits);
   std::size_t OpenConnections() const;
   void Shutdown();
@@ -71,6 +72,7 @@
   void CheckStaleIdle();
   void ExpireLater(const std::shared_ptr<PendingCall>& pending);
   void Expire(const std::shared_ptr<PendingCall>& pending);
+  bool TakeWaiting(const std::shared_ptr<PendingCall>& pending);
 
   mutable std::mutex mutex;
   ConnectionLimits limits;
--- /dev/null
+++ b/src/transport/relay_http_client.cc
@@ -0,0 +1,125 @@
+#include "banyanknot/transport/relay_http_client.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace banyanknot::transport {
+namespace {
+
+/// Above any limit that coordination sets; the pool never queues.
+constexpr std::size_t kPoolConnections = 64;
+/// Idle connections are closed before most servers would, so that a request
+/// rarely crosses a server's close.
+constexpr state::Duration kIdleLifetime = state::Milliseconds(4'000);
+/// A call is waited for a little longer than the server is told, so that the
+/// deciding side's own end comes first.
+constexpr state::Duration kDeadlineSlack = state::Milliseconds(80);
+/// Longest time for a connection to be made; a server that takes longer is
+/// cut off or its queue of new connections is full.
+constexpr state::Duration kConnectTimeout = state::Milliseconds(250);
+constexpr state::Duration kNoSilenceCheck = state::Milliseconds(3'600'000);
+
+std::string KeyOf(const state::InstanceId& server,
+                  const state::Endpoint& endpoint) {
+  return server.Text() + "@" + ToText(endpoint);
+}
+
+coordination::RelayFailure FailureOf(TransportError error) {
+  switch (error) {
+    case TransportError::kConnect:
+    case TransportError::kResolve:
+    case TransportError::kExpired:
+      return coordination::RelayFailure::kNotSent;
+    case TransportError::kLimit:
+      return coordination::RelayFailure::kLimit;
+    case TransportError::kTimeout:
+      return coordination::RelayFailure::kTimeout;
+    default:
+      return coordination::RelayFailure::kLost;
+  }
+}
+
+/// \brief A call on a pool.
+class PooledCall : public coordination::RelayCall {
+ public:
+  PooledCall(std::shared_ptr<HttpConnectionPool> pool, HttpCallHandle handle)
+      : pool(std::move(pool)), handle(std::move(handle)) {}
+  void Cancel() override { this->pool->Cancel(this->handle); }
+
+ private:
+  const std::shared_ptr<HttpConnectionPool> pool;
+  const HttpCallHandle handle;
+};
+
+}  // namespace
+
+RelayHttpClient::RelayHttpClient(boost::asio::io_context& context,
+                                 const coordination::Clock& clock,
+                                 const protocol::RelayCodec& codec)
+    : context(context), clock(clock), codec(codec) {}
+
+RelayHttpClient::PoolPtr RelayHttpClient::PoolOf(
+    const state::InstanceId& server, const state::Endpoint& endpoint) {
+  return this->pools.Update(KeyOf(server, endpoint), [&](PoolPtr& pool) {
+    if (pool == nullptr) {
+      HttpPoolOptions options;
+      options.limits = {kPoolConnections, kPoolConnections};
+      options.idle_lifetime = kIdleLifetime;
+      options.silence_bound = kNoSilenceCheck;
+      pool = std::make_shared<HttpConnectionPool>(this->context, this->clock,
+                                                  endpoint, std::move(options));
+    }
+    return pool;
+  });
+}
+
+std::shared_ptr<coordination::RelayCall> RelayHttpClient::Send(
+    coordination::RelaySend send, coordination::RelayHandler handler) {
+  const state::TimePoint now = this->clock.Now();
+  HttpCall call;
+  call.request = this->codec.EncodeSend(send, send.deadline - now);
+  call.send_before = std::min(send.deadline, now + kConnectTimeout);
+  call.deadline = send.deadline + kDeadlineSlack;
+  call.repeatable = send.is_repeatable;
+  const PoolPtr pool = this->PoolOf(send.server, send.endpoint);
+  HttpCallHandle handle = pool->Call(
+      std::move(call), [this, id = send.request->id,
+                        handler = std::move(handler)](HttpCallResult result) {
+        if (state::IsOk(result)) {
+          handler(this->codec.DecodeReply(state::TakeValue(std::move(result)),
+                                          id));
+        } else {
+          handler(FailureOf(state::ErrorOf(result)));
+        }
+      });
+  return std::make_shared<PooledCall>(pool, std::move(handle));
+}
+
+void RelayHttpClient::AskHealth(const state::InstanceId& server,
+                                const state::Endpoint& endpoint,
+                                const std::string& path,
+                                state::Duration timeout,
+                                coordination::ServerHealthHandler handler) {
+  HttpCall call;
+  call.request = this->codec.EncodeHealthQuestion(endpoint, path);
+  call.deadline = this->clock.Now() + timeout;
+  call.send_before = call.deadline;
+  this->PoolOf(server, endpoint)
+      ->Call(std::move(call),
+             [this, handler = std::move(handler)](const HttpCallResult& result) {
+               if (state::IsOk(result)) {
+                 handler(this->codec.DecodeHealth(state::ValueOf(result)));
+               } else {
+                 handler(std::nullopt);
+               }
+             });
+}
+
+void RelayHttpClient::Forget(const state::InstanceId& server,
+                             const state::Endpoint& endpoint) {
+  const PoolPtr pool =
+      this->pools.Take(KeyOf(server, endpoint)).value_or(nullptr);
+  if (pool != nullptr) pool->Shutdown();
+}
+
+}  // namespace banyanknot::transport
--- a/tools/generate_schemas.py
+++ b/tools/generate_schemas.py
@@ -7,6 +7,7 @@
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 TARGET = ROOT / "src/protocol/json_schema_texts.cc"
 SCHEMAS = [("HostSettingsSchemaText", "host_settings.schema.json"),
+           ("RelaySettingsSchemaText", "relay_settings.schema.json"),
            ("CatalogueSchemaText", "catalogue.schema.json")]
 
 
