--- a/daemons/relay_settings.cc
+++ b/daemons/relay_settings.cc
@@ -30,6 +30,8 @@
   settings.ready_listen = ReadEndpoint(reader, "ready_listen");
   settings.metrics_listen = ReadEndpoint(reader, "metrics_listen");
   settings.source = ReadEndpoint(reader, "source");
+  settings.source_contact =
+      reader.MillisecondsOr("source_contact_ms", settings.source_contact);
   settings.threads = static_cast<std::size_t>(
       reader.UnsignedOr("threads", settings.threads, kMaxThreads));
   settings.leave_grace =
--- a/daemons/relay_settings.h
+++ b/daemons/relay_settings.h
@@ -22,6 +22,8 @@
   state::Endpoint ready_listen;
   state::Endpoint metrics_listen;
   state::Endpoint source;  ///< where routes and servers are published
+  /// A source that fell silent must be noticed within this.
+  state::Duration source_contact = state::Milliseconds(4'000);
   std::size_t threads = 1;
   /// Time for the balancer to notice that the host is not ready any more: it
   /// asks each second and takes a host out after two misses.
--- a/include/banyanknot/coordination/routing/source_follower.h
+++ b/include/banyanknot/coordination/routing/source_follower.h
@@ -21,8 +21,10 @@
 /// follow one another, so the intake sees one batch at a time.
 class SourceFollower {
  public:
+  /// \param contact longest time for which a silent source may go unnoticed
   SourceFollower(const Clock& clock, TimerService& timers, RandomSource& random,
-                 RoutingSource& source, RoutingIntake& intake, EventLog& log);
+                 RoutingSource& source, RoutingIntake& intake, EventLog& log,
+                 state::Duration contact);
 
   void Start();
   /// \brief Tells whether everything has been read once.
@@ -43,6 +45,7 @@
   RoutingSource& source;
   RoutingIntake& intake;
   EventLog& log;
+  const state::Duration watch_wait;
   std::uint64_t revision = 0;
   std::atomic<bool> has_read{false};
   bool is_lost = false;  // the last call failed
--- a/src/coordination/routing/source_follower.cc
+++ b/src/coordination/routing/source_follower.cc
@@ -6,10 +6,13 @@
 namespace banyanknot::coordination {
 namespace {
 
-/// How long a watch waits. A connection that went silent is found out within
-/// it and the client's own slack: well inside the 3 s that a change may take
-/// plus the 4 s that a host has to regain contact.
-constexpr state::Duration kWatchWait = state::Milliseconds(2'500);
+/// Kept of the time in which a silent source must be noticed: the client's
+/// slack beyond a watch's wait, and a new connection.
+constexpr state::Duration kContactMargin = state::Milliseconds(1'500);
+constexpr state::Duration kLeastWait = state::Milliseconds(1'000);
+/// Pause after a watch that brought something. Servers register one by one
+/// when many start; each call to the source has a price.
+constexpr state::Duration kGatherChanges = state::Milliseconds(600);
 constexpr std::int64_t kFirstDelayMs = 40;
 constexpr std::int64_t kLongestDelayMs = 400;
 constexpr unsigned kMostDoublings = 4;
@@ -20,13 +23,15 @@
 
 SourceFollower::SourceFollower(const Clock& clock, TimerService& timers,
                                RandomSource& random, RoutingSource& source,
-                               RoutingIntake& intake, EventLog& log)
+                               RoutingIntake& intake, EventLog& log,
+                               state::Duration contact)
     : clock(clock),
       timers(timers),
       random(random),
       source(source),
       intake(intake),
-      log(log) {}
+      log(log),
+      watch_wait(std::max(contact - kContactMargin, kLeastWait)) {}
 
 void SourceFollower::Start() { this->ReadAll(); }
 
@@ -53,7 +58,7 @@
 
 void SourceFollower::Watch() {
   this->source.Watch(
-      this->revision, kWatchWait,
+      this->revision, this->watch_wait,
       [this](const state::Result<RoutingBatch, SourceFailure>& result) {
         this->OnWatched(result);
       });
@@ -72,7 +77,12 @@
   const RoutingBatch& batch = state::ValueOf(result);
   this->intake.Apply(batch, this->Mode());
   this->revision = std::max(this->revision, batch.revision);
-  this->Watch();
+  if (batch.changes.empty()) {
+    this->Watch();
+  } else {
+    this->timers.RunAt(this->clock.Now() + kGatherChanges,
+                       [this] { this->Watch(); });
+  }
 }
 
 void SourceFollower::OnFailure(SourceFailure failure) {
--- a/src/protocol/json_schema_texts.cc
+++ b/src/protocol/json_schema_texts.cc
@@ -56,6 +56,7 @@
     "ready_listen": {"$ref": "#/definitions/endpoint"},
     "metrics_listen": {"$ref": "#/definitions/endpoint"},
     "source": {"$ref": "#/definitions/endpoint"},
+    "source_contact_ms": {"type": "integer", "minimum": 100, "maximum": 600000},
     "threads": {"type": "integer", "minimum": 1, "maximum": 256},
     "leave_grace_ms": {"type": "integer", "minimum": 0, "maximum": 600000},
     "stop_bound_ms": {"type": "integer", "minimum": 0, "maximum": 600000},
