Test routing in virtual time; try newcomers and once slow servers again

Cause: a server that had not answered was taken for a 20 ms server, and one that was once slow kept its old figure: neither got work while its twin was faster. Ruled out: the checks, which had cleared the servers.

--- a/include/banyanknot/coordination/routing/tracked_server.h
+++ b/include/banyanknot/coordination/routing/tracked_server.h
@@ -86,6 +86,8 @@
   std::optional<ReportedLoad> load;
   std::size_t own_at_report = 0;  // this host's requests when it reported
   state::TimePoint load_at;
+  state::TimePoint last_sent_at;
+  state::TimePoint replied_at;
 };
 
 using TrackedServerPtr = std::shared_ptr<TrackedServer>;
--- a/src/coordination/routing/tracked_server.cc
+++ b/src/coordination/routing/tracked_server.cc
@@ -1,15 +1,23 @@
 #include "banyanknot/coordination/routing/tracked_server.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace banyanknot::coordination {
 namespace {
 
 /// Assumed reply time of a server that has not answered yet, in milliseconds.
-constexpr double kFirstReplyMs = 20;
+/// Below any real one, so that a newcomer gets work and shows what it can do.
+constexpr double kFirstReplyMs = 4;
 /// Weight of the newest reply in the moving averages: about the last ten count.
 constexpr double kNewestWeight = 0.1;
+/// The same for a reply that is slower than usual: a server that turns slow
+/// must be noticed within a few replies.
+constexpr double kSlowerWeight = 0.25;
+/// What is known of a server's speed fades by half in this time without a
+/// reply, so that one that was slow is tried again.
+constexpr double kSpeedHalfLifeMs = 2'000;
 /// A request unanswered for so many usual reply times tells of a pause.
 constexpr double kSilenceFactor = 2.5;
 /// Shortest silence that tells of a pause; below it is ordinary variation.
@@ -126,7 +134,12 @@
   const double slots = static_cast<double>(std::max<std::size_t>(
       1, this->record.slots));
   const double busy = queued / slots;
-  const double cost_ms = this->reply_ms * (1 + busy) *
+  const double quiet_ms = state::ToFractionalMilliseconds(
+      now - std::max(this->replied_at, this->last_sent_at));
+  const double usual_ms = std::max(
+      kFirstReplyMs,
+      this->reply_ms * std::exp2(-std::max(0.0, quiet_ms) / kSpeedHalfLifeMs));
+  const double cost_ms = usual_ms * (1 + busy) *
                          (1 + kFailureFactor * this->failure_share);
   return std::chrono::duration_cast<state::Duration>(
              std::chrono::duration<double, std::milli>(cost_ms)) +
@@ -140,12 +153,15 @@
     return false;
   }
   this->sent.push_back(now);
+  this->last_sent_at = now;
   return true;
 }
 
 void TrackedServer::CountReplyLocked(state::Duration time, bool is_failure) {
-  this->reply_ms += kNewestWeight * (state::ToFractionalMilliseconds(time) -
-                                     this->reply_ms);
+  const double newest_ms = state::ToFractionalMilliseconds(time);
+  const double weight =
+      newest_ms > this->reply_ms ? kSlowerWeight : kNewestWeight;
+  this->reply_ms += weight * (newest_ms - this->reply_ms);
   this->failure_share +=
       kNewestWeight * ((is_failure ? 1 : 0) - this->failure_share);
   this->failures_in_row = 0;
@@ -162,6 +178,7 @@
     this->load_at = now;
     this->own_at_report = this->sent.size() + 1;
   }
+  this->replied_at = now;
   switch (end) {
     case AttemptEnd::kReplied:
       this->CountReplyLocked(now - sent_at, false);
--- /dev/null
+++ b/test/coordination/routing/relay_world.h
@@ -0,0 +1,279 @@
+#ifndef BANYANKNOT_TEST_COORDINATION_ROUTING_RELAY_WORLD_H_
+#define BANYANKNOT_TEST_COORDINATION_ROUTING_RELAY_WORLD_H_
+
+#include <catch2/catch.hpp>
+#include <map>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "banyanknot/Coordination"
+#include "banyanknot/State"
+#include "coordination/fleet/support/virtual_time.h"
+
+namespace banyanknot::coordination::routing_testing {
+
+using state::Milliseconds;
+
+/// \brief Keeps the codes of what is logged.
+class CodeLog : public EventLog {
+ public:
+  void Write(EventCode code, const std::vector<LogField>& /*fields*/) override {
+    this->codes.push_back(code);
+  }
+  std::size_t Count(EventCode code) const {
+    return static_cast<std::size_t>(
+        std::count(this->codes.begin(), this->codes.end(), code));
+  }
+
+ private:
+  std::vector<EventCode> codes;
+};
+
+/// \brief What a scripted server does with one request.
+struct Reaction {
+  state::Duration after = Milliseconds(10);
+  RelayResult result = RelayReply();
+};
+
+/// \brief A good reply; its signature names server and request.
+inline RelayReply GoodReply(const RelaySend& send, std::string body) {
+  RelayReply reply;
+  reply.status = 200;
+  reply.signature = send.server.Text() + "/" + send.request->id;
+  reply.body = std::move(body);
+  return reply;
+}
+
+inline RelayReply FailureReply(unsigned status, std::string signature) {
+  RelayReply reply;
+  reply.status = status;
+  reply.signature = std::move(signature);
+  reply.body = "failure";
+  return reply;
+}
+
+inline RelayReply ShedReply() {
+  RelayReply reply;
+  reply.status = 503;
+  reply.is_proven_not_run = true;
+  return reply;
+}
+
+inline RelayReply OtherServerReply() {
+  RelayReply reply = ShedReply();
+  reply.status = 421;
+  reply.is_other_server = true;
+  return reply;
+}
+
+/// \brief Carries requests to scripted servers in virtual time.
+class ScriptedRelayClient : public RelayClient {
+ public:
+  using Script = std::function<Reaction(const RelaySend&)>;
+
+  explicit ScriptedRelayClient(fleet_testing::VirtualTime& time) : time(time) {}
+
+  std::shared_ptr<RelayCall> Send(RelaySend send,
+                                  RelayHandler handler) override {
+    this->sent.push_back(send);
+    ++this->arrivals[send.server.Text()];
+    const Reaction reaction = this->script(send);
+    const std::shared_ptr<Call> call = std::make_shared<Call>(this->withdrawn);
+    this->time.RunAt(this->time.Now() + reaction.after,
+                     [call, reaction, handler = std::move(handler)] {
+                       if (!call->is_cancelled) handler(reaction.result);
+                     });
+    return call;
+  }
+  void AskHealth(const state::InstanceId& server,
+                 const state::Endpoint& /*endpoint*/,
+                 const std::string& /*path*/, state::Duration /*timeout*/,
+                 ServerHealthHandler handler) override {
+    ++this->questions[server.Text()];
+    const std::optional<ServerHealth> health = this->health(server);
+    this->time.RunAt(this->time.Now() + Milliseconds(1),
+                     [health, handler = std::move(handler)] {
+                       handler(health);
+                     });
+  }
+  void Forget(const state::InstanceId& server,
+              const state::Endpoint& /*endpoint*/) override {
+    this->forgotten.push_back(server);
+  }
+
+  Script script = [](const RelaySend& send) {
+    return Reaction{Milliseconds(10), GoodReply(send, "")};
+  };
+  std::function<std::optional<ServerHealth>(const state::InstanceId&)> health =
+      [](const state::InstanceId& server) {
+        return ServerHealth{server, true, state::Duration(0)};
+      };
+  std::vector<RelaySend> sent;
+  std::map<std::string, int> arrivals;
+  std::map<std::string, int> questions;
+  std::vector<state::InstanceId> forgotten;
+  int withdrawn = 0;
+
+ private:
+  struct Call : RelayCall {
+    explicit Call(int& withdrawn) : withdrawn(withdrawn) {}
+    void Cancel() override {
+      if (!this->is_cancelled) ++this->withdrawn;
+      this->is_cancelled = true;
+    }
+    int& withdrawn;
+    bool is_cancelled = false;
+  };
+
+  fleet_testing::VirtualTime& time;
+};
+
+/// \brief What became of one request.
+struct Ended {
+  bool is_answered = false;
+  RelayAnswer answer;
+  state::Duration after{0};
+  std::uint64_t number = 0;
+};
+
+/// \brief One host's routing over scripted servers, in virtual time.
+class RelayWorld {
+ public:
+  explicit RelayWorld(HedgeClock* hedges = nullptr)
+      : executor(this->time, this->time, this->client, this->routes,
+                 {this->servers, this->budget,
+                  hedges == nullptr ? this->quantile_hedges : *hedges,
+                  this->random},
+                 this->checker, this->journal) {}
+
+  static state::Route RelayRoute(bool is_repeatable,
+                                 std::size_t max_attempts = 2) {
+    state::Route route;
+    route.name = "relay";
+    route.host = "h.example";
+    route.prefix = "/relay/";
+    route.split = {{state::ServiceId("desk"), 1}};
+    route.is_repeatable = is_repeatable;
+    route.max_attempts = max_attempts;
+    route.timeout = Milliseconds(1'000);
+    route.objective = Milliseconds(400);
+    return route;
+  }
+  static state::Route GatherRoute(std::size_t shards, double floor) {
+    state::Route route;
+    route.name = "gather";
+    route.host = "h.example";
+    route.prefix = "/gather/";
+    for (std::size_t index = 0; index < shards; ++index) {
+      route.shards.emplace_back(ShardName(index));
+    }
+    route.top_records = 4;
+    route.least_coverage = floor;
+    route.is_repeatable = true;
+    route.max_attempts = 2;
+    route.timeout = Milliseconds(800);
+    route.objective = Milliseconds(150);
+    return route;
+  }
+  static std::string ShardName(std::size_t index) {
+    return "shard" + std::to_string(index);
+  }
+
+  void PutRoutes(std::vector<state::Route> list, std::uint64_t version = 1) {
+    std::vector<state::ServiceSpec> specs;
+    for (const state::Route& route : list) {
+      std::vector<state::ServiceId> services = route.shards;
+      for (const state::WeightedService& part : route.split) {
+        services.push_back(part.service);
+      }
+      for (const state::ServiceId& service : services) {
+        state::ServiceSpec spec;
+        spec.id = service;
+        spec.health_path = "/health";
+        spec.max_connections = this->max_connections;
+        specs.push_back(spec);
+      }
+    }
+    const state::RouteTablePtr table =
+        std::make_shared<const state::RouteTable>(
+            version, std::move(list), std::move(specs), state::CallerLimits());
+    this->intake.Apply({{table}, version}, RemovalMode::kAtOnce);
+  }
+  state::RegisteredServer Server(const std::string& id,
+                                 const std::string& service,
+                                 const std::string& domain = "a") {
+    state::RegisteredServer server;
+    server.id = state::InstanceId(id);
+    server.service = state::ServiceId(service);
+    server.endpoint = {"10.0.0.1", 80};
+    server.domain = state::FailureDomainId(domain);
+    server.slots = 2;
+    return server;
+  }
+  void Publish(RoutingChange change,
+               RemovalMode mode = RemovalMode::kAtOnce) {
+    this->intake.Apply({{std::move(change)}, 1}, mode);
+  }
+  void PutShardServers(std::size_t shards, std::size_t replicas) {
+    for (std::size_t shard = 0; shard < shards; ++shard) {
+      for (std::size_t replica = 0; replica < replicas; ++replica) {
+        this->Publish(this->Server(
+            ShardName(shard) + "-" + std::to_string(replica),
+            ShardName(shard), replica == 0 ? "a" : "b"));
+      }
+    }
+  }
+
+  std::shared_ptr<Ended> Start(const std::string& path,
+                               state::Duration deadline = Milliseconds(2'000)) {
+    state::RelayRequest request;
+    request.id = "r" + std::to_string(++this->requests);
+    request.method = "GET";
+    request.host = "h.example";
+    request.target = path;
+    request.deadline = deadline;
+    request.received_at = this->time.Now();
+    const state::TimePoint started_at = this->time.Now();
+    const std::shared_ptr<Ended> ended = std::make_shared<Ended>();
+    ended->number = this->executor.Run(
+        std::move(request), [this, ended, started_at](const RelayAnswer& answer) {
+          REQUIRE_FALSE(ended->is_answered);
+          ended->is_answered = true;
+          ended->answer = answer;
+          ended->after = this->time.Now() - started_at;
+        });
+    return ended;
+  }
+  Ended Run(const std::string& path,
+            state::Duration deadline = Milliseconds(2'000)) {
+    const std::shared_ptr<Ended> ended = this->Start(path, deadline);
+    this->time.Advance(Milliseconds(3'000));
+    REQUIRE(ended->is_answered);
+    return *ended;
+  }
+
+  std::size_t max_connections = 96;
+  fleet_testing::VirtualTime time;
+  CodeLog log;
+  SeededRandomSource random{7};
+  RouteDirectory routes;
+  ServerDirectory servers{this->time, state::FailureDomainId("a")};
+  ScriptedRelayClient client{this->time};
+  ServerChecker checker{this->time, this->time, this->client, this->routes,
+                        this->log};
+  ExtraRequestBudget budget{ExtraRequestLimits()};
+  QuantileHedgeClock quantile_hedges{0.92};
+  RelayJournal journal{this->log};
+  RoutingIntake intake{this->time,    this->time,    this->client, this->routes,
+                       this->servers, this->checker, this->log};
+  RelayExecutor executor;
+
+ private:
+  int requests = 0;
+};
+
+}  // namespace banyanknot::coordination::routing_testing
+
+#endif  // BANYANKNOT_TEST_COORDINATION_ROUTING_RELAY_WORLD_H_
