--- a/daemons/relay_application.cc
+++ b/daemons/relay_application.cc
@@ -70,21 +70,6 @@
          status.st_mtim.tv_nsec;
 }
 
-/// \brief Ready once there are routes and servers.
-class RoutesKnown : public coordination::Readiness {
- public:
-  RoutesKnown(const coordination::RouteDirectory& routes,
-              const coordination::ServerDirectory& servers)
-      : routes(routes), servers(servers) {}
-  bool IsReady() const override {
-    return this->routes.Current() != nullptr && !this->servers.IsEmpty();
-  }
-
- private:
-  const coordination::RouteDirectory& routes;
-  const coordination::ServerDirectory& servers;
-};
-
 }  // namespace
 
 struct RelayApplication::Parts {
@@ -109,15 +94,14 @@
         source(sources.Make(threads.Context(), clock, settings.source)),
         follower(clock, timers, random, *source, intake, log,
                  settings.source_contact),
-        routes_known(routes, servers),
-        front_service(clock, codec, executor),
+        reach(clock, routes, servers, log),
+        front_service(clock, codec, readiness, executor),
         front(threads.Context(), front_service, LimitsOf({})),
         status_service(codec.ReadyPath(), readiness, journal),
         ready_server(threads.Context(), status_service, {}),
         metrics_server(threads.Context(), status_service, {}),
         stop_target(executor, front),
-        stop(settings.id, clock, timers, policy, routes_known, stop_target,
-             audit) {
+        stop(settings.id, clock, timers, policy, reach, stop_target, audit) {
     this->policy.Put(PolicyRecord(settings));
     this->readiness.Set(this->stop);
     this->intake.OnRoutes([this](const state::RouteTable& table) {
@@ -147,7 +131,7 @@
   coordination::RoutingIntake intake;
   const std::unique_ptr<coordination::RoutingSource> source;
   coordination::SourceFollower follower;
-  RoutesKnown routes_known;
+  coordination::ReachReadiness reach;
   LateReadiness readiness;
   RelayFrontService front_service;
   transport::HttpServer front;
@@ -252,12 +236,11 @@
 }
 
 int RelayApplication::Run() {
-  this->parts->log.Write(
-      coordination::EventCode::kHostStarting,
-      {{"host", this->parts->settings.id.Text()},
-       {"domain", this->parts->settings.domain.Text()},
-       {"source", ToText(this->parts->settings.source)},
-       {"version", BANYANKNOT_VERSION}});
+  this->parts->log.Write(coordination::EventCode::kHostStarting,
+                         {{"host", this->parts->settings.id.Text()},
+                          {"domain", this->parts->settings.domain.Text()},
+                          {"source", ToText(this->parts->settings.source)},
+                          {"version", BANYANKNOT_VERSION}});
   this->parts->settings_changed_at = ChangedAt(this->parts->settings_file);
   if (!this->Listen()) return 1;
   this->parts->follower.Start();
--- a/daemons/relay_front_service.cc
+++ b/daemons/relay_front_service.cc
@@ -7,8 +7,9 @@
 
 RelayFrontService::RelayFrontService(const coordination::Clock& clock,
                                      const protocol::RelayCodec& codec,
+                                     const coordination::Readiness& readiness,
                                      coordination::RelayExecutor& executor)
-    : clock(clock), codec(codec), executor(executor) {}
+    : clock(clock), codec(codec), readiness(readiness), executor(executor) {}
 
 void RelayFrontService::Handle(
     std::shared_ptr<transport::HttpExchange> exchange) {
@@ -18,7 +19,12 @@
   const std::uint64_t number = this->executor.Run(
       std::move(request),
       [this, exchange, id](const coordination::RelayAnswer& answer) {
-        exchange->Respond(this->codec.EncodeAnswer(answer, id));
+        protocol::HttpResponse response = this->codec.EncodeAnswer(answer, id);
+        // Its caller finds a better host only over another connection.
+        response.closes_connection =
+            answer.outcome == state::RelayOutcome::kNotRun &&
+            !this->readiness.IsReady();
+        exchange->Respond(std::move(response));
       });
   if (number == coordination::RelayExecutor::kNoRun) return;
   exchange->OnClosed([this, number] { this->executor.Cancel(number); });
--- a/daemons/relay_front_service.h
+++ b/daemons/relay_front_service.h
@@ -4,6 +4,7 @@
 #include <memory>
 
 #include "banyanknot/coordination/clock.h"
+#include "banyanknot/coordination/readiness.h"
 #include "banyanknot/coordination/routing/relay_executor.h"
 #include "banyanknot/protocol/relay_codec.h"
 #include "banyanknot/transport/http_server.h"
@@ -15,12 +16,14 @@
  public:
   RelayFrontService(const coordination::Clock& clock,
                     const protocol::RelayCodec& codec,
+                    const coordination::Readiness& readiness,
                     coordination::RelayExecutor& executor);
   void Handle(std::shared_ptr<transport::HttpExchange> exchange) override;
 
  private:
   const coordination::Clock& clock;
   const protocol::RelayCodec& codec;
+  const coordination::Readiness& readiness;
   coordination::RelayExecutor& executor;
 };
 
--- a/daemons/relay_settings.cc
+++ b/daemons/relay_settings.cc
@@ -13,8 +13,7 @@
 
 state::Endpoint ReadEndpoint(protocol::JsonReader& reader, const char* member) {
   const std::string text = reader.String(member);
-  const std::optional<state::Endpoint> endpoint =
-      state::EndpointFromText(text);
+  const std::optional<state::Endpoint> endpoint = state::EndpointFromText(text);
   if (!endpoint) {
     reader.Fail(protocol::ProtocolErrorCode::kMalformed, member,
                 "must be address:port with a port of at most 65535");
@@ -40,10 +39,9 @@
       reader.MillisecondsOr("stop_bound_ms", settings.stop_bound);
   settings.extra_request_share =
       reader.FractionOr("extra_request_share", settings.extra_request_share);
-  settings.log_severity =
-      state::FindValue(coordination::kLogSeverityNames,
-                       reader.StringOr("log_severity", ""))
-          .value_or(settings.log_severity);
+  settings.log_severity = state::FindValue(coordination::kLogSeverityNames,
+                                           reader.StringOr("log_severity", ""))
+                              .value_or(settings.log_severity);
   return settings;
 }
 
--- a/include/banyanknot/coordination/event_code.h
+++ b/include/banyanknot/coordination/event_code.h
@@ -38,6 +38,8 @@
   kSourceLost = 5006,
   kSourceRegained = 5007,
   kSourceEntryUnreadable = 5008,
+  kReachLost = 5011,
+  kReachRegained = 5012,
   kSettingsReloaded = 5009,
   kSettingsRefused = 5010,
 };
@@ -51,7 +53,7 @@
 };
 
 /// \brief Every event, ordered by number.
-inline constexpr std::array<EventDescription, 27> kEventDescriptions{{
+inline constexpr std::array<EventDescription, 29> kEventDescriptions{{
     {EventCode::kHostStarting, "host_starting", LogSeverity::kInfo,
      "The process has read its settings and starts."},
     {EventCode::kHostListening, "host_listening", LogSeverity::kInfo,
@@ -103,6 +105,10 @@
     {EventCode::kSourceEntryUnreadable, "source_entry_unreadable",
      LogSeverity::kWarning,
      "A published entry can't be read and is passed over."},
+    {EventCode::kReachLost, "reach_lost", LogSeverity::kWarning,
+     "Most servers of other failure domains are out of reach; not ready."},
+    {EventCode::kReachRegained, "reach_regained", LogSeverity::kInfo,
+     "Servers of other failure domains are in reach again."},
     {EventCode::kSettingsReloaded, "settings_reloaded", LogSeverity::kInfo,
      "The settings file was read again."},
     {EventCode::kSettingsRefused, "settings_refused", LogSeverity::kError,
--- /dev/null
+++ b/include/banyanknot/coordination/routing/reach_readiness.h
@@ -0,0 +1,40 @@
+#ifndef BANYANKNOT_COORDINATION_ROUTING_REACH_READINESS_H_
+#define BANYANKNOT_COORDINATION_ROUTING_REACH_READINESS_H_
+
+#include <mutex>
+
+#include "banyanknot/coordination/clock.h"
+#include "banyanknot/coordination/event_log.h"
+#include "banyanknot/coordination/readiness.h"
+#include "banyanknot/coordination/routing/route_directory.h"
+#include "banyanknot/coordination/routing/server_directory.h"
+
+namespace banyanknot::coordination {
+
+/// \brief Ready once there are routes and servers, and while the host reaches
+/// other failure domains.
+///
+/// Answers a host that is cut off with its failure domain while callers still
+/// reach it: its balancer then sends them to hosts that can serve them. A host
+/// that can't reach most servers of most other domains blames itself; single
+/// domains or services that are down take no host out. Thread-safe.
+class ReachReadiness : public Readiness {
+ public:
+  ReachReadiness(const Clock& clock, const RouteDirectory& routes,
+                 const ServerDirectory& servers, EventLog& log);
+  bool IsReady() const override;
+
+ private:
+  bool IsCutOff() const;
+
+  const Clock& clock;
+  const RouteDirectory& routes;
+  const ServerDirectory& servers;
+  EventLog& log;
+  mutable std::mutex mutex;
+  mutable bool was_cut_off = false;
+};
+
+}  // namespace banyanknot::coordination
+
+#endif  // BANYANKNOT_COORDINATION_ROUTING_REACH_READINESS_H_
--- a/include/banyanknot/coordination/routing/relay_answer.h
+++ b/include/banyanknot/coordination/routing/relay_answer.h
@@ -13,8 +13,8 @@
 /// \brief What a caller is told of its request.
 struct RelayAnswer {
   state::RelayOutcome outcome = state::RelayOutcome::kNotRun;
-  RelayReply reply;  ///< of kAnswered
-  std::string body;  ///< of kWhole and kPartial
+  RelayReply reply;                     ///< of kAnswered
+  std::string body;                     ///< of kWhole and kPartial
   std::vector<std::string> signatures;  ///< of the parts that were merged
   std::size_t missing = 0;              ///< shards that were left out
   state::Duration retry_after{0};       ///< of kNotRun and kNotConfigured
--- a/include/banyanknot/coordination/routing/relay_client.h
+++ b/include/banyanknot/coordination/routing/relay_client.h
@@ -9,9 +9,9 @@
 #include <vector>
 
 #include "banyanknot/coordination/routing/relay_failure.h"
+#include "banyanknot/state/result.h"
 #include "banyanknot/state/routing/registered_server.h"
 #include "banyanknot/state/routing/relay_request.h"
-#include "banyanknot/state/result.h"
 
 namespace banyanknot::coordination {
 
@@ -29,7 +29,7 @@
   std::string body;
   std::string signature;  ///< the server's proof of its answer; may be empty
   bool is_proven_not_run = false;
-  bool is_other_server = false;  ///< another server has the address now
+  bool is_other_server = false;   ///< another server has the address now
   bool is_other_request = false;  ///< answers another request
   bool is_encoded = false;        ///< the body is not as the server has it
   bool is_leaving = false;        ///< the server closes the connection
--- a/include/banyanknot/coordination/routing/relay_run.h
+++ b/include/banyanknot/coordination/routing/relay_run.h
@@ -76,9 +76,9 @@
     std::size_t unsent = 0;
     std::size_t open = 0;  // attempts that wait for a reply
     bool is_in = false;
-    bool is_waiting = false;     // for room
+    bool is_waiting = false;  // for room
     bool may_have_run = false;
-    state::TimePoint hedge_at;   // the end of time if there is none
+    state::TimePoint hedge_at;          // the end of time if there is none
     std::optional<RelayReply> failure;  // a server's own
   };
 
--- a/include/banyanknot/coordination/routing/server_directory.h
+++ b/include/banyanknot/coordination/routing/server_directory.h
@@ -14,6 +14,12 @@
 
 namespace banyanknot::coordination {
 
+/// \brief What a host has lately seen of servers in other failure domains.
+struct ReachCount {
+  std::size_t replied = 0;    ///< answered something of late
+  std::size_t unreached = 0;  ///< could not be reached
+};
+
 /// \brief All known servers, by service and by id.
 ///
 /// Thread-safe: tables in shards; each server has a lock of its own.
@@ -44,6 +50,10 @@
   bool HasUsable(const state::ServiceId& service,
                  const std::vector<state::InstanceId>& tried,
                  state::TimePoint now) const override;
+  /// \brief Counts servers of other failure domains; those that nothing was
+  /// sent to of late say nothing.
+  /// \param since what is older is not of late
+  ReachCount CountReach(state::TimePoint since) const;
   bool IsEmpty() const { return this->by_id.Size() == 0; }
 
  private:
--- a/include/banyanknot/coordination/routing/server_doubt.h
+++ b/include/banyanknot/coordination/routing/server_doubt.h
@@ -10,9 +10,9 @@
 
 /// \brief Why a server must be checked before it gets work again.
 enum class ServerDoubt {
-  kUnreachable,   ///< no connection could be made
-  kBroken,        ///< a connection broke; it may have started anew, cold
-  kSilent,        ///< it answered nothing in time
+  kUnreachable,     ///< no connection could be made
+  kBroken,          ///< a connection broke; it may have started anew, cold
+  kSilent,          ///< it answered nothing in time
   kDomainReturned,  ///< its failure domain was out and may come back cold
 };
 
--- a/include/banyanknot/coordination/routing/tracked_server.h
+++ b/include/banyanknot/coordination/routing/tracked_server.h
@@ -50,6 +50,9 @@
   /// \brief Tells whether it may get any work now or soon, free or not.
   bool IsUsable(state::TimePoint now) const;
   bool NeedsCheck() const;
+  bool HasReplied(state::TimePoint since) const;
+  /// \brief Tells whether the last tries to reach it failed.
+  bool IsUnreached() const;
   /// \brief Name of the doubt; empty if there is none.
   std::string_view DoubtName() const;
   /// \brief A check found it unwell or unreachable.
@@ -81,8 +84,8 @@
   unsigned failures_in_row = 0;
   state::TimePoint cold_until;
   std::vector<state::TimePoint> sent;  // of the requests it has, oldest first
-  double reply_ms;       // moving average of reply times
-  double failure_share = 0;  // moving average
+  double reply_ms;                     // moving average of reply times
+  double failure_share = 0;            // moving average
   std::optional<ReportedLoad> load;
   std::size_t own_at_report = 0;  // this host's requests when it reported
   state::TimePoint load_at;
--- a/include/banyanknot/protocol/http_message.h
+++ b/include/banyanknot/protocol/http_message.h
@@ -26,6 +26,7 @@
   std::string content_type = "application/json";  ///< none is sent if empty
   state::Duration retry_after{0};  ///< sent in whole seconds, rounded up
   std::vector<state::HeaderField> headers;  ///< beside those above
+  bool closes_connection = false;  ///< even if the caller would keep it
 };
 
 }  // namespace banyanknot::protocol
--- a/include/banyanknot/protocol/relay_codec.h
+++ b/include/banyanknot/protocol/relay_codec.h
@@ -19,9 +19,8 @@
   /// \brief Reads a caller's request; the id is empty if it has none.
   virtual state::RelayRequest DecodeRequest(const HttpRequest& request,
                                             state::TimePoint now) const = 0;
-  virtual HttpResponse EncodeAnswer(
-      const coordination::RelayAnswer& answer,
-      const std::string& request_id) const = 0;
+  virtual HttpResponse EncodeAnswer(const coordination::RelayAnswer& answer,
+                                    const std::string& request_id) const = 0;
 
   /// \param time_left what the server is told of the deadline
   virtual HttpRequest EncodeSend(const coordination::RelaySend& send,
@@ -29,8 +28,8 @@
   virtual coordination::RelayReply DecodeReply(
       HttpResponse response, const std::string& request_id) const = 0;
 
-  virtual HttpRequest EncodeHealthQuestion(
-      const state::Endpoint& endpoint, const std::string& path) const = 0;
+  virtual HttpRequest EncodeHealthQuestion(const state::Endpoint& endpoint,
+                                           const std::string& path) const = 0;
   virtual coordination::ServerHealth DecodeHealth(
       const HttpResponse& response) const = 0;
 
--- a/include/banyanknot/state/routing/registered_server.h
+++ b/include/banyanknot/state/routing/registered_server.h
@@ -16,7 +16,7 @@
   ServiceId service;
   Endpoint endpoint;
   FailureDomainId domain;
-  std::size_t slots = 1;   ///< requests that it works on at once
+  std::size_t slots = 1;    ///< requests that it works on at once
   bool is_leaving = false;  ///< gets no new work any more
   Duration cold_for{0};     ///< stays cold so long from when it said so
   std::uint64_t started_unix_ms = 0;  ///< tells restarts under one id apart
--- a/include/banyanknot/state/routing/relay_outcome.h
+++ b/include/banyanknot/state/routing/relay_outcome.h
@@ -10,16 +10,16 @@
 
 /// \brief How a relayed or gathered request ended.
 enum class RelayOutcome {
-  kAnswered,      ///< one server's reply, unchanged
-  kWhole,         ///< merged from every shard
-  kPartial,       ///< merged from enough shards
-  kNotRun,        ///< no server has run it, and none will
-  kFailed,        ///< a server may have run it; there is no usable answer
-  kTimedOut,      ///< no usable answer before the deadline
-  kNoRoute,       ///< no route takes it
+  kAnswered,       ///< one server's reply, unchanged
+  kWhole,          ///< merged from every shard
+  kPartial,        ///< merged from enough shards
+  kNotRun,         ///< no server has run it, and none will
+  kFailed,         ///< a server may have run it; there is no usable answer
+  kTimedOut,       ///< no usable answer before the deadline
+  kNoRoute,        ///< no route takes it
   kNotConfigured,  ///< no routes are known yet; not run
-  kInvalid,       ///< the request lacks what every request must have
-  kAbandoned,     ///< the caller left
+  kInvalid,        ///< the request lacks what every request must have
+  kAbandoned,      ///< the caller left
 };
 
 /// \brief Names of RelayOutcome, as they stand in messages and logs.
--- a/include/banyanknot/transport/relay_http_client.h
+++ b/include/banyanknot/transport/relay_http_client.h
@@ -21,7 +21,8 @@
                   const protocol::RelayCodec& codec);
 
   std::shared_ptr<coordination::RelayCall> Send(
-      coordination::RelaySend send, coordination::RelayHandler handler) override;
+      coordination::RelaySend send,
+      coordination::RelayHandler handler) override;
   void AskHealth(const state::InstanceId& server,
                  const state::Endpoint& endpoint, const std::string& path,
                  state::Duration timeout,
--- a/src/coordination/routing/relay_journal.cc
+++ b/src/coordination/routing/relay_journal.cc
@@ -107,20 +107,21 @@
   const std::lock_guard<std::mutex> lock(this->mutex);
   for (const state::EnumName<state::RelayOutcome>& row :
        state::kRelayOutcomeNames) {
-    samples.push_back(
-        {"banyanknot_relay_requests_total", "Requests by how they ended.",
-         MetricKind::kCounter, {{"outcome", std::string(row.name)}},
-         static_cast<double>(this->ended[IndexOf(row.value)])});
+    samples.push_back({"banyanknot_relay_requests_total",
+                       "Requests by how they ended.",
+                       MetricKind::kCounter,
+                       {{"outcome", std::string(row.name)}},
+                       static_cast<double>(this->ended[IndexOf(row.value)])});
   }
   std::uint64_t below = 0;
   for (std::size_t index = 0; index < this->times.size(); ++index) {
     below += this->times[index];
-    const std::string bound = index < kBoundsMs.size()
-                                  ? std::to_string(kBoundsMs[index])
-                                  : "+Inf";
+    const std::string bound =
+        index < kBoundsMs.size() ? std::to_string(kBoundsMs[index]) : "+Inf";
     samples.push_back({"banyanknot_relay_requests_within_milliseconds_total",
                        "Requests that ended within so many milliseconds.",
-                       MetricKind::kCounter, {{"le", bound}},
+                       MetricKind::kCounter,
+                       {{"le", bound}},
                        static_cast<double>(below)});
   }
   const auto add = [&samples](const char* name, const char* help,
--- a/src/coordination/routing/relay_run.cc
+++ b/src/coordination/routing/relay_run.cc
@@ -24,9 +24,9 @@
 
 std::size_t NeededOf(const state::Route& route) {
   if (!route.IsGather()) return 1;
-  const double needed = std::ceil(
-      route.least_coverage * static_cast<double>(route.shards.size()) -
-      kShareEpsilon);
+  const double needed = std::ceil(route.least_coverage *
+                                      static_cast<double>(route.shards.size()) -
+                                  kShareEpsilon);
   return std::max<std::size_t>(1, static_cast<std::size_t>(needed));
 }
 
@@ -51,9 +51,8 @@
   const state::TimePoint start = this->request->received_at;
   this->due =
       start + std::max(route.objective - kCallerWay, route.objective / 2);
-  const state::Duration patience =
-      std::max(this->request->deadline - kReturnTime,
-               this->request->deadline / 2);
+  const state::Duration patience = std::max(
+      this->request->deadline - kReturnTime, this->request->deadline / 2);
   this->end = start + std::min(patience, route.timeout);
   this->due = std::min(this->due, this->end);
 }
@@ -95,8 +94,7 @@
   return true;
 }
 
-bool RelayRun::Launch(Part& part, state::TimePoint now,
-                      RelayEffects& effects) {
+bool RelayRun::Launch(Part& part, state::TimePoint now, RelayEffects& effects) {
   if (!this->MayLaunch(part) || now >= this->end) return false;
   const TrackedServerPtr server =
       this->policies.picker.Pick(part.service, part.tried, now);
@@ -105,8 +103,8 @@
     server->End(AttemptEnd::kWithdrawn, now, now, std::nullopt);
     return false;
   }
-  const std::uint32_t number = static_cast<std::uint32_t>(
-      this->attempts.size());
+  const std::uint32_t number =
+      static_cast<std::uint32_t>(this->attempts.size());
   Attempt attempt;
   attempt.part = static_cast<std::size_t>(&part - this->parts.data());
   attempt.server = server;
@@ -118,10 +116,10 @@
   ++part.open;
   ++this->counts.sent;
   const bool is_first = part.arrivals == 1;
-  part.hedge_at = is_first && this->route.is_repeatable &&
-                          this->route.max_attempts > 1
-                      ? now + this->policies.hedges.HedgeAfter(this->route)
-                      : kNever;
+  part.hedge_at =
+      is_first && this->route.is_repeatable && this->route.max_attempts > 1
+          ? now + this->policies.hedges.HedgeAfter(this->route)
+          : kNever;
   effects.sends.push_back({number, server, this->end});
   return true;
 }
@@ -215,8 +213,7 @@
     ++this->counts.erred;
     part.may_have_run = true;
   }
-  if (end == AttemptEnd::kErred &&
-      !state::ValueOf(result).is_other_request) {
+  if (end == AttemptEnd::kErred && !state::ValueOf(result).is_other_request) {
     part.failure = state::ValueOf(result);
   }
   if (this->is_answered || part.is_in || part.open > 0) return;
@@ -335,7 +332,8 @@
   if (is_enough && (pending == 0 || now >= this->due)) {
     this->AnswerMerged(effects);
   } else if (parts_in + pending < this->needed) {
-    this->Fail(state::RelayOutcome::kFailed, "floor_out_of_reach", now, effects);
+    this->Fail(state::RelayOutcome::kFailed, "floor_out_of_reach", now,
+               effects);
   } else if (now >= this->end) {
     this->Fail(state::RelayOutcome::kTimedOut, "deadline", now, effects);
   }
@@ -380,10 +378,9 @@
                     state::TimePoint now, RelayEffects& effects) {
   this->is_answered = true;
   const bool may_have_run =
-      std::any_of(this->parts.begin(), this->parts.end(),
-                  [](const Part& part) {
-                    return part.is_in || part.may_have_run || part.open > 0;
-                  });
+      std::any_of(this->parts.begin(), this->parts.end(), [](const Part& part) {
+        return part.is_in || part.may_have_run || part.open > 0;
+      });
   RelayAnswer answer;
   answer.outcome = may_have_run ? if_run : state::RelayOutcome::kNotRun;
   answer.reason = reason;
--- a/src/coordination/routing/routing_intake.cc
+++ b/src/coordination/routing/routing_intake.cc
@@ -140,9 +140,9 @@
   const TrackedServerPtr removed = this->servers.Remove(id);
   if (removed == nullptr) return;
   this->client.Forget(id, removed->Record().endpoint);
-  this->log.Write(EventCode::kServerRemoved,
-                  {{"server", id.Text()},
-                   {"service", removed->Record().service.Text()}});
+  this->log.Write(
+      EventCode::kServerRemoved,
+      {{"server", id.Text()}, {"service", removed->Record().service.Text()}});
 }
 
 }  // namespace banyanknot::coordination
--- a/src/coordination/routing/server_checker.cc
+++ b/src/coordination/routing/server_checker.cc
@@ -38,11 +38,11 @@
     this->under_check.Take(server.get());
     return;
   }
-  this->client.AskHealth(record.id, record.endpoint, spec->health_path,
-                         kHealthTimeout,
-                         [this, server](std::optional<ServerHealth> health) {
-                           this->OnHealth(server, health);
-                         });
+  this->client.AskHealth(
+      record.id, record.endpoint, spec->health_path, kHealthTimeout,
+      [this, server](const std::optional<ServerHealth>& health) {
+        this->OnHealth(server, health);
+      });
 }
 
 void ServerChecker::OnHealth(const TrackedServerPtr& server,
--- a/src/coordination/routing/server_directory.cc
+++ b/src/coordination/routing/server_directory.cc
@@ -58,7 +58,7 @@
 }
 
 TrackedServerPtr ServerDirectory::Remove(const state::InstanceId& id) {
-  const TrackedServerPtr server = this->by_id.Take(id).value_or(nullptr);
+  TrackedServerPtr server = this->by_id.Take(id).value_or(nullptr);
   if (server == nullptr) return nullptr;
   server->MarkLeaving();
   this->TakeFromPool(server);
@@ -67,10 +67,10 @@
 
 std::vector<state::InstanceId> ServerDirectory::Ids() const {
   std::vector<state::InstanceId> ids;
-  this->by_id.ForEach([&ids](const state::InstanceId& id,
-                             const TrackedServerPtr& /*server*/) {
-    ids.push_back(id);
-  });
+  this->by_id.ForEach(
+      [&ids](const state::InstanceId& id, const TrackedServerPtr& /*server*/) {
+        ids.push_back(id);
+      });
   return ids;
 }
 
@@ -97,9 +97,9 @@
 
 ServerDirectory::Pool ServerDirectory::PoolOf(
     const state::ServiceId& service) const {
-  static const Pool empty =
+  static const Pool kEmpty =
       std::make_shared<const std::vector<TrackedServerPtr>>();
-  return this->by_service.Find(service).value_or(empty);
+  return this->by_service.Find(service).value_or(kEmpty);
 }
 
 std::vector<TrackedServerPtr> ServerDirectory::SetDomainOut(
@@ -113,10 +113,10 @@
     }
   }
   std::vector<TrackedServerPtr> servers;
-  this->by_id.ForEach([&](const state::InstanceId& /*id*/,
-                          const TrackedServerPtr& server) {
-    if (server->Record().domain == domain) servers.push_back(server);
-  });
+  this->by_id.ForEach(
+      [&](const state::InstanceId& /*id*/, const TrackedServerPtr& server) {
+        if (server->Record().domain == domain) servers.push_back(server);
+      });
   const state::TimePoint now = this->clock.Now();
   for (const TrackedServerPtr& server : servers) {
     if (!is_out) server->Suspect(ServerDoubt::kDomainReturned, now);
@@ -134,8 +134,8 @@
   for (const state::ServiceSpec& spec : table.Services()) {
     const std::size_t limit = std::clamp<std::size_t>(
         spec.max_connections / kHostsPerServer, 1, kMostConnections);
-    this->connection_limits.Update(spec.id,
-                                   [limit](std::size_t& kept) { kept = limit; });
+    this->connection_limits.Update(
+        spec.id, [limit](std::size_t& kept) { kept = limit; });
     for (const TrackedServerPtr& server : *this->PoolOf(spec.id)) {
       server->SetConnectionLimit(limit);
     }
@@ -166,11 +166,24 @@
                                 const std::vector<state::InstanceId>& tried,
                                 state::TimePoint now) const {
   const Pool pool = this->PoolOf(service);
-  return std::any_of(pool->begin(), pool->end(),
-                     [&](const TrackedServerPtr& server) {
-                       return server->IsUsable(now) &&
-                              !Contains(tried, server->Record().id);
-                     });
+  return std::any_of(
+      pool->begin(), pool->end(), [&](const TrackedServerPtr& server) {
+        return server->IsUsable(now) && !Contains(tried, server->Record().id);
+      });
+}
+
+ReachCount ServerDirectory::CountReach(state::TimePoint since) const {
+  ReachCount count;
+  this->by_id.ForEach(
+      [&](const state::InstanceId& /*id*/, const TrackedServerPtr& server) {
+        if (server->Record().domain == this->own_domain) return;
+        if (server->IsUnreached()) {
+          ++count.unreached;
+        } else if (server->HasReplied(since)) {
+          ++count.replied;
+        }
+      });
+  return count;
 }
 
 }  // namespace banyanknot::coordination
--- a/src/coordination/routing/source_follower.cc
+++ b/src/coordination/routing/source_follower.cc
@@ -114,16 +114,14 @@
   if (!this->is_lost) return;
   this->is_lost = false;
   this->regained_at = this->clock.Now();
-  this->log.Write(
-      EventCode::kSourceRegained,
-      {{"after_ms", std::to_string(state::ToMilliseconds(this->regained_at -
-                                                         this->lost_at))}});
+  this->log.Write(EventCode::kSourceRegained,
+                  {{"after_ms", std::to_string(state::ToMilliseconds(
+                                    this->regained_at - this->lost_at))}});
 }
 
 RemovalMode SourceFollower::Mode() const {
-  const bool is_fresh =
-      this->regained_at != state::TimePoint::min() &&
-      this->clock.Now() - this->regained_at < kLapseWindow;
+  const bool is_fresh = this->regained_at != state::TimePoint::min() &&
+                        this->clock.Now() - this->regained_at < kLapseWindow;
   return is_fresh ? RemovalMode::kLapse : RemovalMode::kAtOnce;
 }
 
--- a/src/coordination/routing/tracked_server.cc
+++ b/src/coordination/routing/tracked_server.cc
@@ -73,8 +73,7 @@
   if (cold_for.count() > 0) this->cold_until = now + cold_for;
 }
 
-void TrackedServer::SetColdFor(state::Duration cold_for,
-                               state::TimePoint now) {
+void TrackedServer::SetColdFor(state::Duration cold_for, state::TimePoint now) {
   const std::lock_guard<std::mutex> lock(this->mutex);
   this->cold_until = now + cold_for;
 }
@@ -94,6 +93,16 @@
   return this->doubt.has_value() && !this->is_leaving && !this->is_domain_out;
 }
 
+bool TrackedServer::HasReplied(state::TimePoint since) const {
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  return this->replied_at >= since;
+}
+
+bool TrackedServer::IsUnreached() const {
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  return this->doubt.has_value() && this->failures_in_row > 0;
+}
+
 std::string_view TrackedServer::DoubtName() const {
   const std::lock_guard<std::mutex> lock(this->mutex);
   return this->doubt ? NameOf(*this->doubt) : std::string_view();
@@ -131,16 +140,16 @@
         static_cast<double>(this->load->running + this->load->waiting);
     queued += std::max(0.0, all - static_cast<double>(this->own_at_report));
   }
-  const double slots = static_cast<double>(std::max<std::size_t>(
-      1, this->record.slots));
+  const double slots =
+      static_cast<double>(std::max<std::size_t>(1, this->record.slots));
   const double busy = queued / slots;
   const double quiet_ms = state::ToFractionalMilliseconds(
       now - std::max(this->replied_at, this->last_sent_at));
   const double usual_ms = std::max(
       kFirstReplyMs,
       this->reply_ms * std::exp2(-std::max(0.0, quiet_ms) / kSpeedHalfLifeMs));
-  const double cost_ms = usual_ms * (1 + busy) *
-                         (1 + kFailureFactor * this->failure_share);
+  const double cost_ms =
+      usual_ms * (1 + busy) * (1 + kFailureFactor * this->failure_share);
   return std::chrono::duration_cast<state::Duration>(
              std::chrono::duration<double, std::milli>(cost_ms)) +
          this->SilenceLocked(now);
@@ -178,7 +187,10 @@
     this->load_at = now;
     this->own_at_report = this->sent.size() + 1;
   }
-  this->replied_at = now;
+  const bool has_replied = end == AttemptEnd::kReplied ||
+                           end == AttemptEnd::kErred ||
+                           end == AttemptEnd::kRefused;
+  if (has_replied) this->replied_at = now;
   switch (end) {
     case AttemptEnd::kReplied:
       this->CountReplyLocked(now - sent_at, false);
--- a/src/coordination/routing/wait_line.cc
+++ b/src/coordination/routing/wait_line.cc
@@ -28,8 +28,7 @@
                    line.begin(), line.end(),
                    [now](const Waiter& waiter) { return waiter.due <= now; }),
                line.end());
-    const auto first =
-        std::max_element(line.begin(), line.end(), IsLessUrgent);
+    const auto first = std::max_element(line.begin(), line.end(), IsLessUrgent);
     if (first == line.end()) return;
     next = *first;
     line.erase(first);
--- a/src/transport/client_connection.cc
+++ b/src/transport/client_connection.cc
@@ -57,8 +57,7 @@
              });
 }
 
-void ClientConnection::CancelCall(
-    const std::shared_ptr<PendingCall>& pending) {
+void ClientConnection::CancelCall(const std::shared_ptr<PendingCall>& pending) {
   asio::post(this->stream.get_executor(),
              [self = this->shared_from_this(), pending] {
                if (self->current == pending) {
--- a/src/transport/client_connection.h
+++ b/src/transport/client_connection.h
@@ -16,8 +16,8 @@
 
 /// \brief One connection of a pool; carries one call at a time.
 ///
-/// Everything but Carry(), CancelCall(), Check(), Close() and QuietSince() runs on the
-/// connection's strand.
+/// Everything but Carry(), CancelCall(), Check(), Close() and QuietSince() runs
+/// on the connection's strand.
 class ClientConnection : public std::enable_shared_from_this<ClientConnection> {
  public:
   explicit ClientConnection(std::shared_ptr<PoolCore> pool);
--- a/src/transport/relay_http_client.cc
+++ b/src/transport/relay_http_client.cc
@@ -86,8 +86,8 @@
       std::move(call), [this, id = send.request->id,
                         handler = std::move(handler)](HttpCallResult result) {
         if (state::IsOk(result)) {
-          handler(this->codec.DecodeReply(state::TakeValue(std::move(result)),
-                                          id));
+          handler(
+              this->codec.DecodeReply(state::TakeValue(std::move(result)), id));
         } else {
           handler(FailureOf(state::ErrorOf(result)));
         }
@@ -105,14 +105,14 @@
   call.deadline = this->clock.Now() + timeout;
   call.send_before = call.deadline;
   this->PoolOf(server, endpoint)
-      ->Call(std::move(call),
-             [this, handler = std::move(handler)](const HttpCallResult& result) {
-               if (state::IsOk(result)) {
-                 handler(this->codec.DecodeHealth(state::ValueOf(result)));
-               } else {
-                 handler(std::nullopt);
-               }
-             });
+      ->Call(std::move(call), [this, handler = std::move(handler)](
+                                  const HttpCallResult& result) {
+        if (state::IsOk(result)) {
+          handler(this->codec.DecodeHealth(state::ValueOf(result)));
+        } else {
+          handler(std::nullopt);
+        }
+      });
 }
 
 void RelayHttpClient::Forget(const state::InstanceId& server,
--- a/test/coordination/routing/extra_request_test.cc
+++ b/test/coordination/routing/extra_request_test.cc
@@ -1,8 +1,9 @@
+#include <rapidcheck.h>
+
 #include <algorithm>
 #include <catch2/catch.hpp>
 #include <deque>
 #include <map>
-#include <rapidcheck.h>
 #include <string>
 #include <vector>
 
@@ -75,7 +76,8 @@
     world.Start("/relay/1");
     world.time.Advance(Milliseconds(10));
   }
-  const double extra = static_cast<double>(world.client.sent.size()) - kRequests;
+  const double extra =
+      static_cast<double>(world.client.sent.size()) - kRequests;
   CHECK(extra <= kBorneShare * kRequests);
   CHECK(extra > 0);
 }
--- a/test/coordination/routing/gather_test.cc
+++ b/test/coordination/routing/gather_test.cc
@@ -1,7 +1,8 @@
+#include <rapidcheck.h>
+
 #include <algorithm>
 #include <catch2/catch.hpp>
 #include <functional>
-#include <rapidcheck.h>
 #include <set>
 #include <string>
 #include <vector>
@@ -161,15 +162,15 @@
       all.push_back(Record('q'));
       all.push_back(Record('q'));
     }
-    std::sort(all.begin(), all.end(), [](const std::string& left,
-                                         const std::string& right) {
-      return std::lexicographical_compare(
-          right.begin(), right.end(), left.begin(), left.end(),
-          [](char a, char b) {
-            return static_cast<unsigned char>(a) <
-                   static_cast<unsigned char>(b);
-          });
-    });
+    std::sort(all.begin(), all.end(),
+              [](const std::string& left, const std::string& right) {
+                return std::lexicographical_compare(
+                    right.begin(), right.end(), left.begin(), left.end(),
+                    [](char a, char b) {
+                      return static_cast<unsigned char>(a) <
+                             static_cast<unsigned char>(b);
+                    });
+              });
     std::string expected;
     for (std::size_t at = 0; at < all.size() && at < 5; ++at) {
       expected += all[at];
--- a/test/coordination/routing/relay_world.h
+++ b/test/coordination/routing/relay_world.h
@@ -93,10 +93,9 @@
                  ServerHealthHandler handler) override {
     ++this->questions[server.Text()];
     const std::optional<ServerHealth> health = this->health(server);
-    this->time.RunAt(this->time.Now() + Milliseconds(1),
-                     [health, handler = std::move(handler)] {
-                       handler(health);
-                     });
+    this->time.RunAt(
+        this->time.Now() + Milliseconds(1),
+        [health, handler = std::move(handler)] { handler(health); });
   }
   void Forget(const state::InstanceId& server,
               const state::Endpoint& /*endpoint*/) override {
@@ -142,11 +141,11 @@
 class RelayWorld {
  public:
   explicit RelayWorld(HedgeClock* hedges = nullptr)
-      : executor(this->time, this->time, this->client, this->routes,
-                 {this->servers, this->budget,
-                  hedges == nullptr ? this->quantile_hedges : *hedges,
-                  this->random},
-                 this->checker, this->journal) {}
+      : executor(
+            this->time, this->time, this->client, this->routes,
+            {this->servers, this->budget,
+             hedges == nullptr ? this->quantile_hedges : *hedges, this->random},
+            this->checker, this->journal) {}
 
   static state::Route RelayRoute(bool is_repeatable,
                                  std::size_t max_attempts = 2) {
@@ -212,16 +211,15 @@
     server.slots = 2;
     return server;
   }
-  void Publish(RoutingChange change,
-               RemovalMode mode = RemovalMode::kAtOnce) {
+  void Publish(RoutingChange change, RemovalMode mode = RemovalMode::kAtOnce) {
     this->intake.Apply({{std::move(change)}, 1}, mode);
   }
   void PutShardServers(std::size_t shards, std::size_t replicas) {
     for (std::size_t shard = 0; shard < shards; ++shard) {
       for (std::size_t replica = 0; replica < replicas; ++replica) {
-        this->Publish(this->Server(
-            ShardName(shard) + "-" + std::to_string(replica),
-            ShardName(shard), replica == 0 ? "a" : "b"));
+        this->Publish(
+            this->Server(ShardName(shard) + "-" + std::to_string(replica),
+                         ShardName(shard), replica == 0 ? "a" : "b"));
       }
     }
   }
@@ -238,7 +236,8 @@
     const state::TimePoint started_at = this->time.Now();
     const std::shared_ptr<Ended> ended = std::make_shared<Ended>();
     ended->number = this->executor.Run(
-        std::move(request), [this, ended, started_at](const RelayAnswer& answer) {
+        std::move(request),
+        [this, ended, started_at](const RelayAnswer& answer) {
           REQUIRE_FALSE(ended->is_answered);
           ended->is_answered = true;
           ended->answer = answer;
--- a/test/coordination/routing/routing_intake_test.cc
+++ b/test/coordination/routing/routing_intake_test.cc
@@ -97,8 +97,8 @@
 TEST_CASE("Everything read at once removes what is not in it") {
   IntakeWorld intake;
   intake.world.Publish(DomainOrder{state::FailureDomainId("b"), true});
-  intake.world.intake.ApplyAll(
-      {{intake.world.Server("s2", "desk", "b")}, 9}, RemovalMode::kAtOnce);
+  intake.world.intake.ApplyAll({{intake.world.Server("s2", "desk", "b")}, 9},
+                               RemovalMode::kAtOnce);
   CHECK(intake.ArrivalsAt("s1") == 0);
   CHECK(intake.ArrivalsAt("s2") == 12);
 }
@@ -134,6 +134,43 @@
   CHECK(intake.world.log.Count(EventCode::kServerDoubted) == 1);
 }
 
+TEST_CASE("A host that reaches no other failure domain is not ready") {
+  RelayWorld world;
+  ReachReadiness readiness(world.time, world.routes, world.servers, world.log);
+  CHECK_FALSE(readiness.IsReady());
+  world.PutRoutes({RelayWorld::RelayRoute(true)});
+  CHECK_FALSE(readiness.IsReady());
+  for (const char* id : {"a1", "b1", "b2", "c1", "c2", "c3"}) {
+    world.Publish(
+        world.Server(id, id[0] == 'a' ? "bay" : "desk", std::string(1, id[0])));
+  }
+  CHECK(readiness.IsReady());
+  std::string cut = "b";
+  world.client.script = [&cut](const RelaySend& send) {
+    if (cut.find(send.server.Text()[0]) != std::string::npos) {
+      return Reaction{Milliseconds(5), RelayFailure::kNotSent};
+    }
+    return Reaction{Milliseconds(5), GoodReply(send, "")};
+  };
+  world.client.health = [&cut](const state::InstanceId& server) {
+    return cut.find(server.Text()[0]) == std::string::npos
+               ? std::optional<ServerHealth>({server, true, Milliseconds(0)})
+               : std::nullopt;
+  };
+  for (int index = 0; index < 30; ++index) world.Start("/relay/1");
+  world.time.Advance(Milliseconds(1'000));
+  CHECK(readiness.IsReady());  // one domain of two is down
+  cut = "bc";
+  for (int index = 0; index < 30; ++index) {
+    world.Start("/relay/1");
+    world.time.Advance(Milliseconds(100));
+  }
+  CHECK_FALSE(readiness.IsReady());
+  cut = "";
+  world.time.Advance(Milliseconds(2'000));
+  CHECK(readiness.IsReady());
+}
+
 TEST_CASE("A check that finds another server ends the old one") {
   IntakeWorld intake;
   intake.world.client.script = [](const RelaySend& send) {
--- /dev/null
+++ b/test/platform/header_relay_codec_test.cc
@@ -0,0 +1,153 @@
+#include "platform/header_relay_codec.h"
+
+#include <catch2/catch.hpp>
+#include <string>
+
+#include "banyanknot/protocol/hop_headers.h"
+
+namespace banyanknot::platform {
+namespace {
+
+using protocol::HeaderValue;
+
+const HeaderRelayCodec kCodec;
+
+protocol::HttpRequest CallerRequest() {
+  protocol::HttpRequest request;
+  request.method = "POST";
+  request.target = "/p/%2f?a=b&a=c";
+  request.body = std::string("\0\x01 body", 7);
+  request.headers = {{"Host", "h.example"},
+                     {"Attempt-Id", "abc"},
+                     {"Deadline-Ms", "500"},
+                     {"Connection", "X-Mine, close"},
+                     {"X-Mine", "1"},
+                     {"X-Other", "2"},
+                     {"x-other", "3"},
+                     {"Target-Instance", "i-evil"},
+                     {"Transfer-Encoding", "chunked"}};
+  return request;
+}
+
+TEST_CASE("A request is passed on unchanged but for its connection's headers") {
+  const state::TimePoint now{state::Milliseconds(5'000)};
+  coordination::RelaySend send;
+  send.server = state::InstanceId("i-1");
+  send.request = std::make_shared<const state::RelayRequest>(
+      kCodec.DecodeRequest(CallerRequest(), now));
+  CHECK(send.request->id == "abc");
+  CHECK(send.request->host == "h.example");
+  CHECK(send.request->deadline == state::Milliseconds(500));
+  const protocol::HttpRequest sent =
+      kCodec.EncodeSend(send, state::Milliseconds(321));
+  CHECK(sent.method == "POST");
+  CHECK(sent.target == "/p/%2f?a=b&a=c");
+  CHECK(sent.body == CallerRequest().body);
+  CHECK(HeaderValue(sent.headers, "Attempt-Id") == "abc");
+  CHECK(HeaderValue(sent.headers, "Host") == "h.example");
+  CHECK(HeaderValue(sent.headers, "Deadline-Ms") == "321");
+  CHECK(HeaderValue(sent.headers, "Target-Instance") == "i-1");
+  CHECK(HeaderValue(sent.headers, "X-Other") == "2");
+  CHECK(sent.headers.size() == 6);
+  for (const char* dropped : {"Connection", "X-Mine", "Transfer-Encoding"}) {
+    CHECK(HeaderValue(sent.headers, dropped).empty());
+  }
+}
+
+TEST_CASE("A reply is told apart by what it says of itself") {
+  struct Row {
+    const char* name;
+    unsigned status;
+    std::vector<state::HeaderField> headers;
+    bool is_success;
+    bool is_not_run;
+    bool is_other_server;
+  };
+  const state::HeaderField signature{"Server-Stamp", "s"};
+  const std::vector<Row> rows = {
+      {"good", 200, {signature, {"Attempt-Id", "abc"}}, true, false, false},
+      {"no echo", 200, {signature}, true, false, false},
+      {"unsigned", 200, {}, false, false, false},
+      {"encoded",
+       200,
+       {signature, {"Content-Encoding", "gzip"}},
+       false,
+       false,
+       false},
+      {"another's", 200, {signature, {"Attempt-Id", "x"}}, false, false, false},
+      {"failure", 500, {signature}, false, false, false},
+      {"shed", 503, {{"Not-Executed", "1"}}, false, true, false},
+      {"unmarked 503", 503, {}, false, false, false},
+      {"another server", 421, {{"Instance-Id", "i-2"}}, false, true, true},
+  };
+  for (const Row& row : rows) {
+    INFO(row.name);
+    protocol::HttpResponse response;
+    response.status = row.status;
+    response.headers = row.headers;
+    const coordination::RelayReply reply = kCodec.DecodeReply(response, "abc");
+    CHECK(reply.IsSuccess() == row.is_success);
+    CHECK(reply.is_proven_not_run == row.is_not_run);
+    CHECK(reply.is_other_server == row.is_other_server);
+  }
+}
+
+TEST_CASE("Load and health are read; nonsense is nothing") {
+  protocol::HttpResponse response;
+  response.headers = {
+      {"Server-Load", "3,1,8"}, {"Instance-Id", "i-9"}, {"Warmup-Ms", "1200"}};
+  const coordination::RelayReply reply = kCodec.DecodeReply(response, "");
+  REQUIRE(reply.load);
+  CHECK(reply.load->running == 3);
+  CHECK(reply.load->waiting == 1);
+  CHECK(reply.load->slots == 8);
+  const coordination::ServerHealth health = kCodec.DecodeHealth(response);
+  CHECK(health.server.Text() == "i-9");
+  CHECK(health.cold_for == state::Milliseconds(1200));
+  CHECK(health.is_healthy);
+  for (const char* bad : {"", "3", "3,x,1", "a,b,c"}) {
+    response.headers = {{"Server-Load", bad}};
+    CHECK_FALSE(kCodec.DecodeReply(response, "").load);
+  }
+}
+
+TEST_CASE("Outcomes become the status that promises what is true") {
+  struct Row {
+    state::RelayOutcome outcome;
+    unsigned status;
+  };
+  const std::vector<Row> rows = {
+      {state::RelayOutcome::kWhole, 200},
+      {state::RelayOutcome::kPartial, 200},
+      {state::RelayOutcome::kNotRun, 503},
+      {state::RelayOutcome::kNotConfigured, 503},
+      {state::RelayOutcome::kFailed, 502},
+      {state::RelayOutcome::kTimedOut, 504},
+      {state::RelayOutcome::kNoRoute, 404},
+      {state::RelayOutcome::kInvalid, 400},
+  };
+  for (const Row& row : rows) {
+    coordination::RelayAnswer answer;
+    answer.outcome = row.outcome;
+    answer.retry_after = state::Milliseconds(150);
+    const protocol::HttpResponse response = kCodec.EncodeAnswer(answer, "abc");
+    CHECK(response.status == row.status);
+    CHECK(HeaderValue(response.headers, "Retry-After") ==
+          (row.status == 503 ? "0.150" : ""));
+  }
+}
+
+TEST_CASE("A merged answer names its parts and what is missing") {
+  coordination::RelayAnswer answer;
+  answer.outcome = state::RelayOutcome::kPartial;
+  answer.signatures = {"s1", "s2"};
+  answer.missing = 3;
+  answer.body = std::string(32, 'x');
+  const protocol::HttpResponse response = kCodec.EncodeAnswer(answer, "abc");
+  CHECK(HeaderValue(response.headers, "Part-Stamps") == "s1, s2");
+  CHECK(HeaderValue(response.headers, "Missing-Parts") == "3");
+  CHECK(response.body == answer.body);
+}
+
+}  // namespace
+}  // namespace banyanknot::platform
--- a/tools/lint.sh
+++ b/tools/lint.sh
@@ -9,8 +9,8 @@
 cd "$root"
 lint_one() {
   local file=$1 key
-  key=$( { cat .clang-tidy; g++ -std=c++17 -MM -Iinclude -Isrc -Istandins -Idaemons -Ictl -Itest "$file" 2>/dev/null |
-    tr -d '\\' | tr ' ' '\n' | grep -E '^(include|src|standins|daemons|ctl|test|bench)/' | sort -u | xargs cat; echo "$file"; } | sha256sum | cut -d' ' -f1)
+  key=$( { cat .clang-tidy; g++ -std=c++17 -MM -Iinclude -Isrc -Istandins -Idaemons -Ictl -I. -Itest "$file" 2>/dev/null |
+    tr -d '\\' | tr ' ' '\n' | grep -E '^(include|src|standins|daemons|ctl|platform|test|bench)/' | sort -u | xargs cat; echo "$file"; } | sha256sum | cut -d' ' -f1)
   if [ -e "$cache/$key" ]; then return 0; fi
   if clang-tidy --quiet -p "$build" "$file" >"$cache/$key.out" 2>/dev/null; then
     mv "$cache/$key.out" "$cache/$key"
@@ -23,6 +23,6 @@
 export -f lint_one
 export cache build
 if [ $# -gt 0 ]; then files=("$@"); else
-  mapfile -t files < <(git ls-files -co --exclude-standard 'src/*.cc' 'daemons/*.cc' 'standins/*.cc' 'ctl/*.cc')
+  mapfile -t files < <(git ls-files -co --exclude-standard 'src/*.cc' 'daemons/*.cc' 'standins/*.cc' 'ctl/*.cc' 'platform/*.cc')
 fi
 printf '%s\n' "${files[@]}" | xargs -P "${BANYANKNOT_JOBS:-$(nproc)}" -I{} bash -c 'lint_one {}'
