Keep server connections as long as servers announce, and prefer them

Cause: idle connections were closed after 4 s, so on 64 hosts, where each hears from a server every few seconds, six requests in ten paid a new connection (6 ms of handshake). Servers announce 10 s. Ruled out: the count limit, which was never met.

--- a/src/coordination/routing/tracked_server.cc
+++ b/src/coordination/routing/tracked_server.cc
@@ -26,6 +26,11 @@
 constexpr state::Duration kLoadLifetime = state::Milliseconds(250);
 /// How much a server that fails every request costs, in reply times.
 constexpr double kFailureFactor = 8;
+/// Servers close idle connections after about ten seconds; one that was not
+/// heard of for longer takes a new connection.
+constexpr state::Duration kConnectionLifetime = state::Milliseconds(8'000);
+/// What a new connection costs in time: its handshake and a way there and back.
+constexpr state::Duration kNewConnectionCost = state::Milliseconds(8);
 constexpr state::Duration kFirstCheckDelay = state::Milliseconds(20);
 constexpr state::Duration kLongestCheckDelay = state::Milliseconds(800);
 constexpr unsigned kMostDoublings = 6;
@@ -150,8 +155,10 @@
       this->reply_ms * std::exp2(-std::max(0.0, quiet_ms) / kSpeedHalfLifeMs));
   const double cost_ms =
       usual_ms * (1 + busy) * (1 + kFailureFactor * this->failure_share);
+  const bool is_connected = now - this->replied_at < kConnectionLifetime;
   return std::chrono::duration_cast<state::Duration>(
              std::chrono::duration<double, std::milli>(cost_ms)) +
+         (is_connected ? state::Duration(0) : kNewConnectionCost) +
          this->SilenceLocked(now);
 }
 
--- a/src/transport/client_connection.cc
+++ b/src/transport/client_connection.cc
@@ -9,6 +9,8 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/strand.hpp>
 #include <boost/beast/core.hpp>
+#include <charconv>
+#include <optional>
 #include <utility>
 
 #include "transport/http_convert.h"
@@ -30,6 +32,28 @@
 constexpr int kKeepAliveIntervalSeconds = 2;
 constexpr int kKeepAliveProbes = 2;
 
+/// Kept of the time that a server announces: a request that is on its way as
+/// the server closes the connection is lost.
+constexpr state::Duration kCloseMargin = state::Milliseconds(1'500);
+
+/// Reads `Keep-Alive: timeout=SECONDS`; nothing if there is none.
+std::optional<state::Duration> AnnouncedLifetime(
+    const http::response<http::string_body>& response) {
+  constexpr beast::string_view kTimeout = "timeout=";
+  constexpr std::int64_t kMillisecondsPerSecond = 1'000;
+  const beast::string_view text = response[http::field::keep_alive];
+  const std::size_t at = text.find(kTimeout);
+  if (at == beast::string_view::npos) return std::nullopt;
+  std::int64_t seconds = 0;
+  const std::from_chars_result parsed =
+      std::from_chars(text.data() + at + kTimeout.size(),
+                      text.data() + text.size(), seconds);
+  if (parsed.ec != std::errc()) return std::nullopt;
+  return std::max(
+      state::Milliseconds(seconds * kMillisecondsPerSecond) - kCloseMargin,
+      state::Duration(0));
+}
+
 template <int kName>
 void SetTcpOption(tcp::socket& socket, int value) {
   beast::error_code ignored;
@@ -292,6 +316,7 @@
   this->quiet_since = now.time_since_epoch().count();
   this->pool->NoteReply(now);
   const bool keep_alive = this->parser->keep_alive();
+  this->announced_lifetime = AnnouncedLifetime(this->parser->get());
   protocol::HttpResponse response = FromBeast(this->parser->release());
   const std::shared_ptr<PendingCall> finished = std::move(this->current);
   if (this->is_silent && this->pool->OnAnswerAfterSilence()) {
@@ -326,9 +351,15 @@
       });
 }
 
+state::Duration ClientConnection::IdleLifetime() const {
+  const state::Duration own = this->pool->IdleLifetime();
+  return this->announced_lifetime ? std::min(own, *this->announced_lifetime)
+                                  : own;
+}
+
 void ClientConnection::WatchIdle() {
   this->WatchReadable();
-  this->timer.expires_after(this->pool->IdleLifetime());
+  this->timer.expires_after(this->IdleLifetime());
   this->timer.async_wait(
       [self = this->shared_from_this()](const beast::error_code& error) {
         if (!error && self->pool->TakeIdle(self)) self->CloseNow();
--- a/src/transport/client_connection.h
+++ b/src/transport/client_connection.h
@@ -53,6 +53,7 @@
   void Read();
   void OnRead(const boost::beast::error_code& error);
   void Free();
+  state::Duration IdleLifetime() const;
   void WatchReadable();
   void WatchIdle();
   void OnIdleReadable();
@@ -76,6 +77,8 @@
       parser;
   std::shared_ptr<PendingCall> current;
   std::atomic<state::Duration::rep> quiet_since{0};
+  /// How long the server says that it keeps an idle connection.
+  std::optional<state::Duration> announced_lifetime;
   bool is_connected = false;
   bool is_closed = false;
   bool is_silent = false;  // gave up its place in the pool
--- a/src/transport/relay_http_client.cc
+++ b/src/transport/relay_http_client.cc
@@ -8,9 +8,8 @@
 
 /// Above any limit that coordination sets; the pool never queues.
 constexpr std::size_t kPoolConnections = 64;
-/// Idle connections are closed before most servers would, so that a request
-/// rarely crosses a server's close.
-constexpr state::Duration kIdleLifetime = state::Milliseconds(4'000);
+/// Longest life of an idle connection; servers announce shorter ones.
+constexpr state::Duration kIdleLifetime = state::Milliseconds(20'000);
 /// A call is waited for a little longer than the server is told, so that the
 /// deciding side's own end comes first.
 constexpr state::Duration kDeadlineSlack = state::Milliseconds(80);
