--- a/include/banyanknot/transport/http_pool_options.h
+++ b/include/banyanknot/transport/http_pool_options.h
@@ -33,6 +33,9 @@
   state::Duration idle_lifetime = state::Milliseconds(30'000);
   /// An idle connection beyond the lasting ones is closed after so long.
   state::Duration spare_lifetime = state::Milliseconds(500);
+  /// Whether an idle connection is watched for a close by the server. Without
+  /// it a close is found out when the connection is next used.
+  bool watches_idle = true;
   /// Told when the other side closes an idle connection, with the time since
   /// its last reply; called on any thread with no lock held. May be empty.
   std::function<void(state::Duration quiet_for)> on_closed_by_server;
--- a/src/transport/client_connection.cc
+++ b/src/transport/client_connection.cc
@@ -97,13 +97,14 @@
     this->PassOn();
     return;
   }
-  this->timer.cancel();
   if (!this->is_connected) {
     this->Connect();
     return;
   }
-  beast::error_code ignored;
-  this->stream.socket().cancel(ignored);  // ends the watch while idle
+  if (this->pool->options.watches_idle) {
+    beast::error_code ignored;
+    this->stream.socket().cancel(ignored);  // ends the watch while idle
+  }
   this->CheckOrWrite();
 }
 
@@ -111,7 +112,6 @@
   asio::post(this->stream.get_executor(), [self = this->shared_from_this()] {
     if (self->is_closed) return;
     beast::error_code ignored;
-    self->timer.cancel();
     self->stream.socket().cancel(ignored);
     self->WriteCheck();
   });
@@ -171,6 +171,7 @@
 void ClientConnection::SetSocketOptions() {
   tcp::socket& socket = this->stream.socket();
   beast::error_code ignored;
+  socket.non_blocking(true, ignored);  // a look for a close must not block
   socket.set_option(tcp::no_delay(true), ignored);
   socket.set_option(asio::socket_base::keep_alive(true), ignored);
   SetTcpOption<TCP_USER_TIMEOUT>(socket, kUserTimeoutMilliseconds);
@@ -182,7 +183,6 @@
 bool ClientConnection::IsClosedByServer() {
   tcp::socket& socket = this->stream.socket();
   beast::error_code error;
-  socket.non_blocking(true, error);
   char byte = 0;
   socket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, error);
   // Bytes that nothing asked for are no better than a close.
@@ -256,8 +256,11 @@
   }
   this->request = ToBeast(std::move(this->current->call.request),
                           ToText(this->pool->endpoint));
-  this->stream.expires_at(this->current->call.deadline);
-  this->WatchSilence();
+  this->stream.expires_never();
+  this->written_at = this->pool->clock.Now();
+  this->is_written = true;
+  this->ArmTimer(std::min(this->current->call.deadline,
+                          this->written_at + this->pool->options.silence_bound));
   http::async_write(this->stream, this->request,
                     [self = this->shared_from_this()](
                         const beast::error_code& error, std::size_t /*bytes*/) {
@@ -269,18 +272,49 @@
                     });
 }
 
-void ClientConnection::WatchSilence() {
-  const state::TimePoint written_at = this->pool->clock.Now();
-  this->timer.expires_after(this->pool->options.silence_bound);
-  this->timer.async_wait([self = this->shared_from_this(),
-                          written_at](const beast::error_code& error) {
-    if (!error) self->OnUnanswered(written_at);
-  });
+void ClientConnection::ArmTimer(state::TimePoint when) {
+  if (this->armed_for && *this->armed_for <= when) return;
+  this->armed_for = when;
+  this->timer.expires_at(when);
+  this->timer.async_wait(
+      [self = this->shared_from_this()](const beast::error_code& error) {
+        if (!error) self->OnTimer();
+      });
+}
+
+void ClientConnection::OnTimer() {
+  this->armed_for.reset();
+  if (this->is_closed) return;
+  const state::TimePoint now = this->pool->clock.Now();
+  if (this->current != nullptr) {
+    if (this->is_written) this->CheckCurrentInTime(now);
+  } else {
+    this->CheckIdleInTime(now);
+  }
+}
+
+void ClientConnection::CheckCurrentInTime(state::TimePoint now) {
+  if (now >= this->current->call.deadline) {
+    this->FinishWith(TransportError::kTimeout);
+    return;
+  }
+  const state::TimePoint silent_at =
+      this->written_at + this->pool->options.silence_bound;
+  if (now >= silent_at) {
+    if (!this->is_silent) this->is_silent = this->pool->OnSilence(this->written_at);
+    this->ArmTimer(this->current->call.deadline);
+  } else {
+    this->ArmTimer(std::min(this->current->call.deadline, silent_at));
+  }
 }
 
-void ClientConnection::OnUnanswered(state::TimePoint written_at) {
-  if (this->is_closed || this->is_silent || this->current == nullptr) return;
-  this->is_silent = this->pool->OnSilence(written_at);
+void ClientConnection::CheckIdleInTime(state::TimePoint now) {
+  const state::TimePoint idle_until = this->QuietSince() + this->IdleLifetime();
+  if (now < idle_until) {
+    this->ArmTimer(idle_until);
+  } else if (this->pool->TakeIdle(this->shared_from_this())) {
+    this->CloseNow();
+  }
 }
 
 void ClientConnection::Read() {
@@ -319,6 +353,7 @@
   this->announced_lifetime = AnnouncedLifetime(this->parser->get());
   protocol::HttpResponse response = FromBeast(this->parser->release());
   const std::shared_ptr<PendingCall> finished = std::move(this->current);
+  this->is_written = false;
   if (this->is_silent && this->pool->OnAnswerAfterSilence()) {
     this->is_silent = false;
   }
@@ -332,7 +367,6 @@
 }
 
 void ClientConnection::Free() {
-  this->timer.cancel();
   this->stream.expires_never();
   const std::shared_ptr<PendingCall> next =
       this->pool->OnFree(this->shared_from_this());
@@ -358,12 +392,8 @@
 }
 
 void ClientConnection::WatchIdle() {
-  this->WatchReadable();
-  this->timer.expires_after(this->IdleLifetime());
-  this->timer.async_wait(
-      [self = this->shared_from_this()](const beast::error_code& error) {
-        if (!error && self->pool->TakeIdle(self)) self->CloseNow();
-      });
+  if (this->pool->options.watches_idle) this->WatchReadable();
+  this->ArmTimer(this->pool->clock.Now() + this->IdleLifetime());
 }
 
 void ClientConnection::OnIdleReadable() {
--- a/src/transport/client_connection.h
+++ b/src/transport/client_connection.h
@@ -57,8 +57,10 @@
   void WatchReadable();
   void WatchIdle();
   void OnIdleReadable();
-  void WatchSilence();
-  void OnUnanswered(state::TimePoint written_at);
+  void ArmTimer(state::TimePoint when);
+  void OnTimer();
+  void CheckCurrentInTime(state::TimePoint now);
+  void CheckIdleInTime(state::TimePoint now);
   void PassOn();
   void FinishWith(TransportError error);
   void CloseNow();
@@ -69,7 +71,12 @@
 
   const std::shared_ptr<PoolCore> pool;
   boost::beast::tcp_stream stream;
+  // Armed for no later than what is due next. It is not moved when that moves
+  // away, as with each call that ends: it then finds nothing due.
   boost::asio::steady_timer timer;
+  std::optional<state::TimePoint> armed_for;
+  state::TimePoint written_at;  // of the current call
+  bool is_written = false;
   boost::beast::flat_buffer buffer;
   boost::beast::http::request<boost::beast::http::string_body> request;
   std::optional<
--- a/src/transport/relay_http_client.cc
+++ b/src/transport/relay_http_client.cc
@@ -65,6 +65,7 @@
       options.limits = {kPoolConnections, kPoolConnections};
       options.idle_lifetime = kIdleLifetime;
       options.silence_bound = kNoSilenceCheck;
+      options.watches_idle = false;  // one wait and its end less a request
       pool = std::make_shared<HttpConnectionPool>(this->context, this->clock,
                                                   endpoint, std::move(options));
     }
