--- a/include/banyanknot/coordination/routing/relay_run.h
+++ b/include/banyanknot/coordination/routing/relay_run.h
@@ -107,7 +107,7 @@
   void Fail(state::RelayOutcome if_run, const char* reason,
             state::TimePoint now, RelayEffects& effects);
   void Withdraw(state::TimePoint now, RelayEffects& effects);
-  void SetWake(state::TimePoint now, RelayEffects& effects) const;
+  void SetWake(state::TimePoint now, RelayEffects& effects);
   state::Duration DrawRetryAfter();
 
   RelayPolicies policies;
@@ -122,6 +122,7 @@
   std::optional<RelayReply> reply;  // of a relayed request
   state::TimePoint due;  // when an answer is sent with the parts at hand
   state::TimePoint end;  // when there is no more use in an answer
+  state::TimePoint wake_at;  // the next one that was asked for
   RelayCounts counts;
   bool is_answered = false;
 };
--- a/src/coordination/routing/relay_executor.cc
+++ b/src/coordination/routing/relay_executor.cc
@@ -149,9 +149,12 @@
   send.is_repeatable = run.Route().is_repeatable;
   const std::uint32_t attempt = order.attempt;
   std::shared_ptr<RelayCall> call = this->client.Send(
-      std::move(send), [this, number, attempt](const RelayResult& result) {
-        this->Post(number, [this, attempt, result](RelayRun& answered_run) {
-          return answered_run.OnResult(attempt, result, this->clock.Now());
+      std::move(send), [this, number, attempt](RelayResult result) {
+        // Events are copied on their way; replies are not.
+        const std::shared_ptr<const RelayResult> shared =
+            std::make_shared<const RelayResult>(std::move(result));
+        this->Post(number, [this, attempt, shared](RelayRun& answered_run) {
+          return answered_run.OnResult(attempt, *shared, this->clock.Now());
         });
       });
   this->entries.UpdateIfPresent(number, [&](Entry& entry) {
--- a/src/coordination/routing/relay_run.cc
+++ b/src/coordination/routing/relay_run.cc
@@ -396,12 +396,14 @@
                           static_cast<std::uint64_t>(kRetrySpreadMs))));
 }
 
-void RelayRun::SetWake(state::TimePoint now, RelayEffects& effects) const {
+void RelayRun::SetWake(state::TimePoint now, RelayEffects& effects) {
   if (this->is_answered) return;
   state::TimePoint next = now < this->due ? this->due : this->end;
   for (const Part& part : this->parts) {
     if (!part.is_in) next = std::min(next, part.hedge_at);
   }
+  if (this->wake_at > now && this->wake_at <= next) return;  // wakes anyway
+  this->wake_at = next;
   effects.wake_at = next;
 }
 
