--- a/daemons/host_application.cc
+++ b/daemons/host_application.cc
@@ -5,6 +5,7 @@
 #include <csignal>
 #include <cstdio>
 #include <future>
+#include <iostream>
 #include <random>
 #include <utility>
 
@@ -71,7 +72,8 @@
       : settings(settings),
         identity(IdentityOf(settings, wall_clock)),
         origin(DrawOrigin()),
-        log(wall_clock, settings.log_severity, EncoderOf(settings.log_format)),
+        log(wall_clock, settings.log_severity, EncoderOf(settings.log_format),
+            std::clog),
         audit(kAuditCapacity, wall_clock, log),
         threads(settings.threads),
         timers(threads.Context()),
--- a/daemons/relay_application.cc
+++ b/daemons/relay_application.cc
@@ -6,6 +6,7 @@
 #include <boost/asio/signal_set.hpp>
 #include <csignal>
 #include <future>
+#include <iostream>
 #include <random>
 #include <utility>
 
@@ -77,7 +78,8 @@
         const protocol::RelayCodec& codec, const RoutingSourceFactory& sources)
       : settings(settings),
         settings_file(std::move(settings_file)),
-        log(wall_clock, settings.log_severity, protocol::EncodeJsonLogLine),
+        log(wall_clock, settings.log_severity, protocol::EncodeJsonLogLine,
+            std::cout),
         audit(kAuditCapacity, wall_clock, log),
         threads(settings.threads),
         timers(threads.Context()),
--- a/include/banyanknot/coordination/routing/relay_run.h
+++ b/include/banyanknot/coordination/routing/relay_run.h
@@ -120,8 +120,8 @@
   TopRecordMerger merger;
   std::vector<std::string> signatures;
   std::optional<RelayReply> reply;  // of a relayed request
-  state::TimePoint due;  // when an answer is sent with the parts at hand
-  state::TimePoint end;  // when there is no more use in an answer
+  state::TimePoint due;      // when an answer is sent with the parts at hand
+  state::TimePoint end;      // when there is no more use in an answer
   state::TimePoint wake_at;  // the next one that was asked for
   RelayCounts counts;
   bool is_answered = false;
--- a/include/banyanknot/transport/boost_event_log.h
+++ b/include/banyanknot/transport/boost_event_log.h
@@ -1,7 +1,9 @@
 #ifndef BANYANKNOT_TRANSPORT_BOOST_EVENT_LOG_H_
 #define BANYANKNOT_TRANSPORT_BOOST_EVENT_LOG_H_
 
+#include <cstdint>
 #include <functional>
+#include <iosfwd>
 #include <memory>
 #include <string>
 #include <vector>
@@ -11,7 +13,10 @@
 
 namespace banyanknot::transport {
 
-/// \brief Writes events to the standard error stream through Boost.Log.
+/// \brief Writes events to a stream through Boost.Log.
+///
+/// Thread-safe. A thread of its own writes; events that find its queue full are
+/// dropped and counted, so that nobody waits for the stream.
 class BoostEventLog : public coordination::EventLog {
  public:
   /// \brief Turns an event into one line of text.
@@ -20,13 +25,18 @@
       const std::vector<coordination::LogField>&)>;
 
   /// \param least events of a lower severity are left out
+  /// \param stream must outlive the log
   BoostEventLog(const coordination::WallClock& wall_clock,
-                coordination::LogSeverity least, LineEncoder encode);
+                coordination::LogSeverity least, LineEncoder encode,
+                std::ostream& stream);
   ~BoostEventLog() override;
 
   void Write(coordination::EventCode code,
              const std::vector<coordination::LogField>& fields) override;
 
+  /// \brief Number of events dropped so far.
+  std::uint64_t Dropped() const;
+
  private:
   struct Impl;
   const coordination::WallClock& wall_clock;
--- a/src/coordination/routing/relay_run.cc
+++ b/src/coordination/routing/relay_run.cc
@@ -19,6 +19,9 @@
 constexpr std::int64_t kRetrySpreadMs = 120;
 constexpr state::TimePoint kNever = state::TimePoint::max();
 constexpr unsigned kFirstServerError = 500;
+/// A hedge that finds no room or budget is tried again after this: about one
+/// request's time at a server.
+constexpr state::Duration kHedgeRetry = state::Milliseconds(15);
 /// Rounding of a share of shards that is given in decimals.
 constexpr double kShareEpsilon = 1e-9;
 
@@ -229,7 +232,8 @@
   for (Part& part : this->parts) {
     if (part.is_in || part.open == 0 || now < part.hedge_at) continue;
     part.hedge_at = kNever;
-    this->Launch(part, now, effects);
+    if (this->Launch(part, now, effects) || !this->MayLaunch(part)) continue;
+    if (now + kHedgeRetry < this->due) part.hedge_at = now + kHedgeRetry;
   }
 }
 
--- a/src/transport/boost_event_log.cc
+++ b/src/transport/boost_event_log.cc
@@ -1,32 +1,62 @@
 #include "banyanknot/transport/boost_event_log.h"
 
+#include <atomic>
 #include <boost/core/null_deleter.hpp>
 #include <boost/log/core.hpp>
 #include <boost/log/expressions.hpp>
-#include <boost/log/sinks/sync_frontend.hpp>
+#include <boost/log/sinks/async_frontend.hpp>
+#include <boost/log/sinks/bounded_fifo_queue.hpp>
 #include <boost/log/sinks/text_ostream_backend.hpp>
 #include <boost/log/sources/logger.hpp>
 #include <boost/log/sources/record_ostream.hpp>
 #include <boost/smart_ptr/make_shared.hpp>
-#include <iostream>
+#include <ostream>
 #include <utility>
 
 namespace banyanknot::transport {
 
+namespace {
+
+/// Records that wait to be written; some seconds of the busiest log.
+constexpr std::size_t kMostWaiting = 2'048;
+
+std::atomic<std::uint64_t> dropped_records{0};
+
+/// \brief Drops what finds the queue full, and counts it: a log that nobody
+/// reads must not hold up requests.
+struct CountingDrop {
+  template <typename Lock>
+  static bool on_overflow(const boost::log::record_view& /*record*/,
+                          Lock& /*lock*/) {
+    ++dropped_records;
+    return false;
+  }
+  static void on_queue_space_available() {}
+  static void interrupt() {}
+};
+
+}  // namespace
+
 struct BoostEventLog::Impl {
   using Backend = boost::log::sinks::text_ostream_backend;
-  using Sink = boost::log::sinks::synchronous_sink<Backend>;
+  using Queue =
+      boost::log::sinks::bounded_fifo_queue<kMostWaiting, CountingDrop>;
+  using Sink = boost::log::sinks::asynchronous_sink<Backend, Queue>;
 
-  Impl() : sink(boost::make_shared<Sink>()) {
+  explicit Impl(std::ostream& stream) : sink(boost::make_shared<Sink>()) {
     this->sink->locked_backend()->add_stream(
-        boost::shared_ptr<std::ostream>(&std::clog, boost::null_deleter()));
+        boost::shared_ptr<std::ostream>(&stream, boost::null_deleter()));
     this->sink->locked_backend()->auto_flush(true);
     this->sink->set_formatter(boost::log::expressions::stream
                               << boost::log::expressions::smessage);
     boost::log::core::get()->add_sink(this->sink);
   }
 
-  ~Impl() { boost::log::core::get()->remove_sink(this->sink); }
+  ~Impl() {
+    boost::log::core::get()->remove_sink(this->sink);
+    this->sink->stop();
+    this->sink->flush();
+  }
 
   boost::shared_ptr<Sink> sink;
   boost::log::sources::logger_mt logger;
@@ -34,14 +64,16 @@
 
 BoostEventLog::BoostEventLog(const coordination::WallClock& wall_clock,
                              coordination::LogSeverity least,
-                             LineEncoder encode)
+                             LineEncoder encode, std::ostream& stream)
     : wall_clock(wall_clock),
       least(least),
       encode(std::move(encode)),
-      impl(std::make_unique<Impl>()) {}
+      impl(std::make_unique<Impl>(stream)) {}
 
 BoostEventLog::~BoostEventLog() = default;
 
+std::uint64_t BoostEventLog::Dropped() const { return dropped_records; }
+
 void BoostEventLog::Write(coordination::EventCode code,
                           const std::vector<coordination::LogField>& fields) {
   const coordination::EventDescription& event =
--- a/src/transport/client_connection.cc
+++ b/src/transport/client_connection.cc
@@ -45,9 +45,8 @@
   const std::size_t at = text.find(kTimeout);
   if (at == beast::string_view::npos) return std::nullopt;
   std::int64_t seconds = 0;
-  const std::from_chars_result parsed =
-      std::from_chars(text.data() + at + kTimeout.size(),
-                      text.data() + text.size(), seconds);
+  const std::from_chars_result parsed = std::from_chars(
+      text.data() + at + kTimeout.size(), text.data() + text.size(), seconds);
   if (parsed.ec != std::errc()) return std::nullopt;
   return std::max(
       state::Milliseconds(seconds * kMillisecondsPerSecond) - kCloseMargin,
@@ -259,8 +258,9 @@
   this->stream.expires_never();
   this->written_at = this->pool->clock.Now();
   this->is_written = true;
-  this->ArmTimer(std::min(this->current->call.deadline,
-                          this->written_at + this->pool->options.silence_bound));
+  this->ArmTimer(
+      std::min(this->current->call.deadline,
+               this->written_at + this->pool->options.silence_bound));
   http::async_write(this->stream, this->request,
                     [self = this->shared_from_this()](
                         const beast::error_code& error, std::size_t /*bytes*/) {
@@ -301,7 +301,8 @@
   const state::TimePoint silent_at =
       this->written_at + this->pool->options.silence_bound;
   if (now >= silent_at) {
-    if (!this->is_silent) this->is_silent = this->pool->OnSilence(this->written_at);
+    if (!this->is_silent)
+      this->is_silent = this->pool->OnSilence(this->written_at);
     this->ArmTimer(this->current->call.deadline);
   } else {
     this->ArmTimer(std::min(this->current->call.deadline, silent_at));
--- a/test/coordination/routing/gather_test.cc
+++ b/test/coordination/routing/gather_test.cc
@@ -148,6 +148,25 @@
   CHECK(ended.after < Milliseconds(60));
 }
 
+TEST_CASE("A hedge that finds no room is tried again") {
+  GatherWorld gather(4, 0.5);
+  gather.dark = {"shard2-0"};
+  const TrackedServerPtr other = gather.world.servers.Pick(
+      state::ServiceId("shard2"), {state::InstanceId("shard2-0")},
+      gather.world.time.Now());
+  REQUIRE(other != nullptr);
+  const state::TimePoint taken_at = gather.world.time.Now();
+  other->SetConnectionLimit(1);  // its only place is taken
+  const std::shared_ptr<Ended> ended = gather.world.Start("/gather/1");
+  gather.world.time.Advance(Milliseconds(60));
+  CHECK_FALSE(ended->is_answered);
+  other->End(AttemptEnd::kReplied, taken_at, gather.world.time.Now(),
+             std::nullopt);
+  gather.world.time.Advance(Milliseconds(60));
+  REQUIRE(ended->is_answered);
+  CHECK(ended->answer.outcome == state::RelayOutcome::kWhole);
+}
+
 TEST_CASE("The greatest records are kept, equal ones too") {
   rc::check([](const std::vector<std::string>& texts) {
     TopRecordMerger merger(5);
