--- a/include/banyanknot/coordination/routing/tracked_server.h
+++ b/include/banyanknot/coordination/routing/tracked_server.h
@@ -42,7 +42,7 @@
   void SetDomainOut(bool is_out);
   void MarkLeaving();
   /// \brief It stays without work until a check clears it.
-  void Suspect(ServerDoubt doubt, state::TimePoint now);
+  void Suspect(ServerDoubt doubt);
   /// \brief A check found it well, and cold for so long yet.
   void Clear(state::Duration cold_for, state::TimePoint now);
   void SetColdFor(state::Duration cold_for, state::TimePoint now);
--- a/src/coordination/routing/server_directory.cc
+++ b/src/coordination/routing/server_directory.cc
@@ -117,9 +117,8 @@
       [&](const state::InstanceId& /*id*/, const TrackedServerPtr& server) {
         if (server->Record().domain == domain) servers.push_back(server);
       });
-  const state::TimePoint now = this->clock.Now();
   for (const TrackedServerPtr& server : servers) {
-    if (!is_out) server->Suspect(ServerDoubt::kDomainReturned, now);
+    if (!is_out) server->Suspect(ServerDoubt::kDomainReturned);
     server->SetDomainOut(is_out);
   }
   return servers;
--- a/src/coordination/routing/tracked_server.cc
+++ b/src/coordination/routing/tracked_server.cc
@@ -66,7 +66,7 @@
   this->is_leaving = true;
 }
 
-void TrackedServer::Suspect(ServerDoubt new_doubt, state::TimePoint /*now*/) {
+void TrackedServer::Suspect(ServerDoubt new_doubt) {
   const std::lock_guard<std::mutex> lock(this->mutex);
   this->doubt = new_doubt;
 }
--- a/src/transport/boost_event_log.cc
+++ b/src/transport/boost_event_log.cc
@@ -6,6 +6,7 @@
 #include <boost/log/expressions.hpp>
 #include <boost/log/sinks/async_frontend.hpp>
 #include <boost/log/sinks/bounded_fifo_queue.hpp>
+#include <boost/log/sinks/drop_on_overflow.hpp>
 #include <boost/log/sinks/text_ostream_backend.hpp>
 #include <boost/log/sources/logger.hpp>
 #include <boost/log/sources/record_ostream.hpp>
@@ -24,15 +25,15 @@
 
 /// \brief Drops what finds the queue full, and counts it: a log that nobody
 /// reads must not hold up requests.
-struct CountingDrop {
+struct CountingDrop : boost::log::sinks::drop_on_overflow {
+  // The function's name is Boost.Log's.
   template <typename Lock>
+  // NOLINTNEXTLINE(readability-identifier-naming)
   static bool on_overflow(const boost::log::record_view& /*record*/,
                           Lock& /*lock*/) {
     ++dropped_records;
     return false;
   }
-  static void on_queue_space_available() {}
-  static void interrupt() {}
 };
 
 }  // namespace
--- a/src/transport/client_connection.cc
+++ b/src/transport/client_connection.cc
@@ -301,8 +301,9 @@
   const state::TimePoint silent_at =
       this->written_at + this->pool->options.silence_bound;
   if (now >= silent_at) {
-    if (!this->is_silent)
+    if (!this->is_silent) {
       this->is_silent = this->pool->OnSilence(this->written_at);
+    }
     this->ArmTimer(this->current->call.deadline);
   } else {
     this->ArmTimer(std::min(this->current->call.deadline, silent_at));
