--- /dev/null
+++ b/test/platform/store_source_test.cc
@@ -0,0 +1,149 @@
+#include "platform/store_source.h"
+
+#include <catch2/catch.hpp>
+#include <functional>
+#include <future>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <vector>
+
+#include "banyanknot/transport/http_server.h"
+#include "banyanknot/transport/io_threads.h"
+#include "banyanknot/transport/steady_clock.h"
+
+namespace banyanknot::platform {
+namespace {
+
+using coordination::RoutingBatch;
+using coordination::SourceFailure;
+using SourceResult = state::Result<RoutingBatch, SourceFailure>;
+
+constexpr std::chrono::seconds kPatience{20};
+
+/// A store whose answers a test scripts by the target that is asked for.
+class ScriptedStore : public transport::HttpHandler {
+ public:
+  using Script = std::function<protocol::HttpResponse(const std::string&)>;
+
+  explicit ScriptedStore(Script script)
+      : script(std::move(script)),
+        server(threads.Context(), *this, {}),
+        port(state::ValueOf(this->server.Listen({"127.0.0.1", 0}))),
+        source(threads.Context(), clock, {"127.0.0.1", port}) {}
+  ~ScriptedStore() override { this->threads.Stop(); }
+
+  void Handle(std::shared_ptr<transport::HttpExchange> exchange) override {
+    const std::string target = exchange->Request().target;
+    {
+      const std::lock_guard<std::mutex> lock(this->mutex);
+      this->targets.push_back(target);
+    }
+    exchange->Respond(this->script(target));
+  }
+  SourceResult ReadAll() {
+    std::promise<SourceResult> promise;
+    this->source.ReadAll([&promise](SourceResult result) {
+      promise.set_value(std::move(result));
+    });
+    return Take(promise);
+  }
+  SourceResult Watch(std::uint64_t after) {
+    std::promise<SourceResult> promise;
+    this->source.Watch(after, state::Milliseconds(1'000),
+                       [&promise](SourceResult result) {
+                         promise.set_value(std::move(result));
+                       });
+    return Take(promise);
+  }
+  std::vector<std::string> Targets() const {
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    return this->targets;
+  }
+
+ private:
+  static SourceResult Take(std::promise<SourceResult>& promise) {
+    std::future<SourceResult> future = promise.get_future();
+    REQUIRE(future.wait_for(kPatience) == std::future_status::ready);
+    return future.get();
+  }
+
+  const Script script;
+  mutable std::mutex mutex;
+  std::vector<std::string> targets;
+  transport::SteadyClock clock;
+  transport::IoThreads threads{2};
+  transport::HttpServer server;
+  const std::uint16_t port;
+  StoreSource source;
+};
+
+protocol::HttpResponse Respond(unsigned status, std::string body) {
+  protocol::HttpResponse response;
+  response.status = status;
+  response.body = std::move(body);
+  return response;
+}
+
+TEST_CASE("All pages of the store are read, as of the first one's revision") {
+  ScriptedStore store([](const std::string& target) {
+    const std::string key = target.find("after=") == std::string::npos
+                                ? "op/evacuate/a"
+                                : "op/evacuate/b";
+    const bool has_more = key.back() == 'a';
+    return Respond(200, R"({"items":[{"Key":")" + key +
+                            R"(","Value":"e30=","Revision":3}],"HasMore":)" +
+                            (has_more ? "true" : "false") + R"(,"AsOf":)" +
+                            (has_more ? "7" : "9") + "}");
+  });
+  const SourceResult result = store.ReadAll();
+  REQUIRE(state::IsOk(result));
+  CHECK(state::ValueOf(result).revision == 7);
+  CHECK(state::ValueOf(result).changes.size() == 2);
+  CHECK(store.Targets().size() == 2);
+}
+
+TEST_CASE("A watch names its place and brings what has changed") {
+  ScriptedStore store([](const std::string& /*target*/) {
+    return Respond(200, R"({"events":[{"Key":"servers/i-1","Revision":8,)"
+                        R"("Deleted":true}],"AsOf":8})");
+  });
+  const SourceResult result = store.Watch(7);
+  REQUIRE(state::IsOk(result));
+  CHECK(state::ValueOf(result).revision == 8);
+  REQUIRE(state::ValueOf(result).changes.size() == 1);
+  CHECK(store.Targets().front().find("after=7&WaitMs=1000") !=
+        std::string::npos);
+}
+
+TEST_CASE("What the store does wrong is told apart") {
+  struct Row {
+    unsigned status;
+    std::string body;
+    SourceFailure expected;
+  };
+  const std::vector<Row> rows = {
+      {410, "", SourceFailure::kHistoryGone},
+      {503, "", SourceFailure::kRefused},
+      {429, "", SourceFailure::kRefused},
+      {200, "no JSON", SourceFailure::kMalformed},
+      {200, "[]", SourceFailure::kMalformed},
+      {200, R"({"events":{},"items":{},"AsOf":4})", SourceFailure::kMalformed},
+      {200, R"({"events":[],"items":[]})", SourceFailure::kMalformed},
+      {200, R"({"events":[],"items":[],"AsOf":"4"})",
+       SourceFailure::kMalformed},
+  };
+  for (const Row& row : rows) {
+    INFO(row.status << " " << row.body);
+    ScriptedStore store([&row](const std::string& /*target*/) {
+      return Respond(row.status, row.body);
+    });
+    const SourceResult watched = store.Watch(1);
+    REQUIRE_FALSE(state::IsOk(watched));
+    CHECK(NameOf(state::ErrorOf(watched)) == NameOf(row.expected));
+    CHECK_FALSE(state::IsOk(store.ReadAll()));
+  }
+}
+
+}  // namespace
+}  // namespace banyanknot::platform
--- a/test/transport/http_connection_pool_test.cc
+++ b/test/transport/http_connection_pool_test.cc
@@ -3,6 +3,7 @@
 #include <catch2/catch.hpp>
 #include <future>
 #include <string>
+#include <thread>
 #include <vector>
 
 #include "banyanknot/transport/io_threads.h"
@@ -94,6 +95,54 @@
   }
 }
 
+TEST_CASE("Bytes after a whole reply condemn their connection") {
+  PoolFixture fixture([](const Seen&) { return Step::kAnswerTwice; },
+                      OptionsOf(1));
+  for (int index = 0; index < 3; ++index) {
+    CHECK(state::IsOk(fixture.Run("x", Milliseconds(5'000))));
+  }
+  CHECK(fixture.server.Connections() == 3);
+}
+
+TEST_CASE("A connection is kept for less time than its server announces") {
+  PoolFixture fixture([](const Seen&) { return Step::kAnswerShortLived; },
+                      OptionsOf(1));
+  CHECK(state::IsOk(fixture.Run("x", Milliseconds(5'000))));
+  const std::chrono::steady_clock::time_point answered_at =
+      std::chrono::steady_clock::now();
+  while (fixture.pool.OpenConnections() > 0 &&
+         std::chrono::steady_clock::now() - answered_at < kPatience) {
+    std::this_thread::yield();
+  }
+  CHECK(std::chrono::steady_clock::now() - answered_at <
+        std::chrono::seconds(2));
+}
+
+TEST_CASE("A cancelled call ends at once and closes its connection") {
+  std::promise<void> arrived;
+  PoolFixture fixture(
+      [&arrived](const Seen&) {
+        arrived.set_value();
+        return Step::kSilent;
+      },
+      OptionsOf(1));
+  HttpCall call;
+  call.request = {"POST", "/call", "x"};
+  call.deadline = fixture.clock.Now() + Milliseconds(600'000);
+  call.send_before = call.deadline;
+  std::promise<HttpCallResult> ended;
+  const HttpCallHandle handle = fixture.pool.Call(
+      std::move(call),
+      [&ended](HttpCallResult result) { ended.set_value(std::move(result)); });
+  REQUIRE(arrived.get_future().wait_for(kPatience) ==
+          std::future_status::ready);
+  fixture.pool.Cancel(handle);
+  const HttpCallResult result = PoolFixture::Take(ended.get_future());
+  REQUIRE_FALSE(state::IsOk(result));
+  CHECK(state::ErrorOf(result) == TransportError::kLost);
+  CHECK(fixture.pool.OpenConnections() == 0);
+}
+
 TEST_CASE("HttpConnectionPool says that nothing was sent to a closed port") {
   PoolFixture fixture([](const Seen&) { return Step::kAnswer; }, OptionsOf(1));
   fixture.server.StopListening();
--- a/test/transport/scripted_server.h
+++ b/test/transport/scripted_server.h
@@ -21,12 +21,14 @@
 /// \brief What a scripted server does with one request.
 enum class Step {
   kAnswer,
-  kAnswerAndClose,  ///< answers with keep-alive, then closes all the same
-  kReset,           ///< closes with a reset and no answer
-  kHalfClose,       ///< closes its sending side and no answer
-  kSilent,          ///< reads and never answers
-  kGarbage,         ///< answers with bytes that are not HTTP
-  kTruncated,       ///< answers with half a response, then closes
+  kAnswerAndClose,    ///< answers with keep-alive, then closes all the same
+  kReset,             ///< closes with a reset and no answer
+  kHalfClose,         ///< closes its sending side and no answer
+  kSilent,            ///< reads and never answers
+  kGarbage,           ///< answers with bytes that are not HTTP
+  kTruncated,         ///< answers with half a response, then closes
+  kAnswerTwice,       ///< answers and sends a second answer along
+  kAnswerShortLived,  ///< says that it keeps the connection for 2 s
 };
 
 /// \brief One request as a scripted server sees it.
@@ -84,6 +86,7 @@
     void ReadNext();
     void Perform(Step step);
     void WriteAndClose(const std::string& bytes);
+    void WriteAndReadOn(std::string text);
 
     const std::shared_ptr<Shared> server;
     tcp::socket socket;
@@ -131,13 +134,15 @@
   boost::system::error_code ignored;
   switch (step) {
     case Step::kAnswer:
-      this->bytes = answer;
-      boost::asio::async_write(
-          this->socket, boost::asio::buffer(this->bytes),
-          [self = this->shared_from_this()](
-              const boost::system::error_code& error, std::size_t /*bytes*/) {
-            if (!error) self->ReadNext();
-          });
+      this->WriteAndReadOn(answer);
+      return;
+    case Step::kAnswerTwice:
+      this->WriteAndReadOn(answer + answer);
+      return;
+    case Step::kAnswerShortLived:
+      this->WriteAndReadOn(
+          "HTTP/1.1 200 OK\r\nKeep-Alive: timeout=2\r\n"
+          "Content-Length: 2\r\n\r\n{}");
       return;
     case Step::kAnswerAndClose:
       this->WriteAndClose(answer);
@@ -163,6 +168,16 @@
   }
 }
 
+inline void ScriptedServer::Connection::WriteAndReadOn(std::string text) {
+  this->bytes = std::move(text);
+  boost::asio::async_write(
+      this->socket, boost::asio::buffer(this->bytes),
+      [self = this->shared_from_this()](const boost::system::error_code& error,
+                                        std::size_t /*bytes*/) {
+        if (!error) self->ReadNext();
+      });
+}
+
 inline void ScriptedServer::Connection::WriteAndClose(
     const std::string& bytes) {
   boost::system::error_code ignored;
