Don't take a server for gone that is slow for one request

Cause: a request unanswered at its deadline put its server in doubt, although it answered others meanwhile; its twin then bore all. The new test failed before by construction of the rule (any timeout was a doubt); seen in the Mantaro incident's log as 149 doubts of silence in 7 s.

--- a/src/coordination/routing/server_checker.cc
+++ b/src/coordination/routing/server_checker.cc
@@ -5,8 +5,8 @@
 namespace banyanknot::coordination {
 namespace {
 
-/// Several times what a healthy server takes, a short pause included.
-constexpr state::Duration kHealthTimeout = state::Milliseconds(400);
+/// A check waits for a slot like any request: a slow server's queue included.
+constexpr state::Duration kHealthTimeout = state::Milliseconds(800);
 
 }  // namespace
 
--- a/src/coordination/routing/tracked_server.cc
+++ b/src/coordination/routing/tracked_server.cc
@@ -218,6 +218,11 @@
       ++this->failures_in_row;
       break;
     case AttemptEnd::kSilent:
+      // One that answered others meanwhile is slow, not gone.
+      if (this->replied_at >= sent_at) {
+        this->CountReplyLocked(now - sent_at, true);
+        break;
+      }
       this->doubt = ServerDoubt::kSilent;
       ++this->failures_in_row;
       break;
--- a/test/coordination/routing/routing_intake_test.cc
+++ b/test/coordination/routing/routing_intake_test.cc
@@ -171,6 +171,25 @@
   CHECK(readiness.IsReady());
 }
 
+TEST_CASE("A server that is slow for one request is not taken for gone") {
+  for (const bool answers_others : {true, false}) {
+    RelayWorld world;
+    const TrackedServerPtr server =
+        std::make_shared<TrackedServer>(world.Server("s1", "desk"), 4);
+    const state::TimePoint start = world.time.Now();
+    REQUIRE(server->TryBegin(start));
+    REQUIRE(server->TryBegin(start + Milliseconds(1)));
+    if (answers_others) {
+      server->End(AttemptEnd::kReplied, start + Milliseconds(1),
+                  start + Milliseconds(200), std::nullopt);
+    }
+    server->End(AttemptEnd::kSilent, start, start + Milliseconds(400),
+                std::nullopt);
+    CHECK(server->NeedsCheck() != answers_others);
+    CHECK(server->IsUsable(start + Milliseconds(400)) == answers_others);
+  }
+}
+
 TEST_CASE("A check that finds another server ends the old one") {
   IntakeWorld intake;
   intake.world.client.script = [](const RelaySend& send) {
