Take no server's lock under a shard's; drop a field that nobody reads

Found on reading the whole change: three walks over all servers, one of which called servers while their shard was locked; a decoded leaving sign without a reader; the seed and a test's script written twice. Behaviour is the same.

--- a/daemons/host_application.cc
+++ b/daemons/host_application.cc
@@ -6,13 +6,13 @@
 #include <cstdio>
 #include <future>
 #include <iostream>
-#include <random>
 #include <utility>
 
 #include "action_parts.h"
 #include "banyanknot/Coordination"
 #include "banyanknot/Protocol"
 #include "banyanknot/Transport"
+#include "draw_seed.h"
 #include "fleet_parts.h"
 #include "host_policies.h"
 #include "host_service.h"
@@ -28,11 +28,6 @@
 /// Longer than the takeover delay of cold slots and a ramp together.
 constexpr state::Duration kWarmWait = state::Milliseconds(8'000);
 
-std::uint64_t DrawOrigin() {
-  std::random_device device;
-  return (static_cast<std::uint64_t>(device()) << 32) | device();
-}
-
 transport::BoostEventLog::LineEncoder EncoderOf(LogFormat format) {
   return format == LogFormat::kJson ? protocol::EncodeJsonLogLine
                                     : protocol::EncodeTextLogLine;
@@ -71,7 +66,7 @@
   explicit Parts(const HostSettings& settings)
       : settings(settings),
         identity(IdentityOf(settings, wall_clock)),
-        origin(DrawOrigin()),
+        origin(DrawSeed()),
         log(wall_clock, settings.log_severity, EncoderOf(settings.log_format),
             std::clog),
         audit(kAuditCapacity, wall_clock, log),
@@ -97,7 +92,7 @@
         prober(clock, timers, random, health, servers, server_parts.roster,
                settings.id, server_parts.rules, server_parts.journal,
                coordination::ProbeTimes()),
-        trial(DrawOrigin(), clock, timers, catalogue, servers,
+        trial(DrawSeed(), clock, timers, catalogue, servers,
               server_parts.fleet_gate, backend, coordination::TrialTimes()),
         warm_readiness(clock, fleet.readiness, catalogue, servers, log,
                        kWarmWait),
@@ -105,9 +100,9 @@
                  server_parts.Gate()),
         executor(origin, clock, timers, backend, catalogue,
                  policies.ForQueries(), counters),
-        actions(identity, DrawOrigin(), clock, timers, random, backend,
-                catalogue, hosts, policies.ForQueries().selector,
-                server_parts.Gate(), peer_link),
+        actions(identity, DrawSeed(), clock, timers, random, backend, catalogue,
+                hosts, policies.ForQueries().selector, server_parts.Gate(),
+                peer_link),
         operators(identity, clock, catalogue, hosts, servers, executor,
                   readiness, audit,
                   {&query_metrics, &actions.metrics, &peer_link}),
--- a/daemons/relay_application.cc
+++ b/daemons/relay_application.cc
@@ -7,12 +7,12 @@
 #include <csignal>
 #include <future>
 #include <iostream>
-#include <random>
 #include <utility>
 
 #include "banyanknot/Coordination"
 #include "banyanknot/Protocol"
 #include "banyanknot/Transport"
+#include "draw_seed.h"
 #include "late_readiness.h"
 #include "relay_front_service.h"
 #include "relay_status_service.h"
@@ -32,11 +32,6 @@
 /// How often the settings file is looked at for a change without a signal.
 constexpr state::Duration kSettingsInterval = state::Milliseconds(5'000);
 
-std::uint64_t DrawSeed() {
-  std::random_device device;
-  return (static_cast<std::uint64_t>(device()) << 32) | device();
-}
-
 transport::HttpServerLimits LimitsOf(const state::CallerLimits& limits) {
   transport::HttpServerLimits converted;
   converted.max_header_bytes = limits.max_header_bytes;
--- a/include/banyanknot/coordination/routing/relay_client.h
+++ b/include/banyanknot/coordination/routing/relay_client.h
@@ -32,7 +32,6 @@
   bool is_other_server = false;   ///< another server has the address now
   bool is_other_request = false;  ///< answers another request
   bool is_encoded = false;        ///< the body is not as the server has it
-  bool is_leaving = false;        ///< the server closes the connection
   std::optional<ReportedLoad> load;
 
   /// \brief Tells whether it is a success that callers may be given.
--- a/include/banyanknot/coordination/routing/server_directory.h
+++ b/include/banyanknot/coordination/routing/server_directory.h
@@ -59,6 +59,7 @@
  private:
   using Pool = std::shared_ptr<const std::vector<TrackedServerPtr>>;
 
+  std::vector<TrackedServerPtr> All() const;
   void AddToPool(const TrackedServerPtr& server);
   void TakeFromPool(const TrackedServerPtr& server);
   Pool PoolOf(const state::ServiceId& service) const;
--- a/src/coordination/routing/server_directory.cc
+++ b/src/coordination/routing/server_directory.cc
@@ -67,13 +67,23 @@
 
 std::vector<state::InstanceId> ServerDirectory::Ids() const {
   std::vector<state::InstanceId> ids;
-  this->by_id.ForEach(
-      [&ids](const state::InstanceId& id, const TrackedServerPtr& /*server*/) {
-        ids.push_back(id);
-      });
+  for (const TrackedServerPtr& server : this->All()) {
+    ids.push_back(server->Record().id);
+  }
   return ids;
 }
 
+// Copied out, since servers have locks of their own and none is taken under a
+// shard's.
+std::vector<TrackedServerPtr> ServerDirectory::All() const {
+  std::vector<TrackedServerPtr> servers;
+  this->by_id.ForEach([&servers](const state::InstanceId& /*id*/,
+                                 const TrackedServerPtr& server) {
+    servers.push_back(server);
+  });
+  return servers;
+}
+
 void ServerDirectory::AddToPool(const TrackedServerPtr& server) {
   this->by_service.Update(server->Record().service, [&server](Pool& pool) {
     std::vector<TrackedServerPtr> servers;
@@ -112,16 +122,14 @@
       return {};
     }
   }
-  std::vector<TrackedServerPtr> servers;
-  this->by_id.ForEach(
-      [&](const state::InstanceId& /*id*/, const TrackedServerPtr& server) {
-        if (server->Record().domain == domain) servers.push_back(server);
-      });
-  for (const TrackedServerPtr& server : servers) {
+  std::vector<TrackedServerPtr> affected;
+  for (const TrackedServerPtr& server : this->All()) {
+    if (server->Record().domain != domain) continue;
     if (!is_out) server->Suspect(ServerDoubt::kDomainReturned);
     server->SetDomainOut(is_out);
+    affected.push_back(server);
   }
-  return servers;
+  return affected;
 }
 
 std::vector<state::FailureDomainId> ServerDirectory::DomainsOut() const {
@@ -173,15 +181,14 @@
 
 ReachCount ServerDirectory::CountReach(state::TimePoint since) const {
   ReachCount count;
-  this->by_id.ForEach(
-      [&](const state::InstanceId& /*id*/, const TrackedServerPtr& server) {
-        if (server->Record().domain == this->own_domain) return;
-        if (server->IsUnreached()) {
-          ++count.unreached;
-        } else if (server->HasReplied(since)) {
-          ++count.replied;
-        }
-      });
+  for (const TrackedServerPtr& server : this->All()) {
+    if (server->Record().domain == this->own_domain) continue;
+    if (server->IsUnreached()) {
+      ++count.unreached;
+    } else if (server->HasReplied(since)) {
+      ++count.replied;
+    }
+  }
   return count;
 }
 
--- a/test/coordination/routing/routing_intake_test.cc
+++ b/test/coordination/routing/routing_intake_test.cc
@@ -22,6 +22,15 @@
     }
     return this->world.client.arrivals[server];
   }
+  /// Every request to s1 loses its connection from now on.
+  void BreakFirstServer() {
+    this->world.client.script = [](const RelaySend& send) {
+      if (send.server.Text() == "s1") {
+        return Reaction{Milliseconds(5), RelayFailure::kLost};
+      }
+      return Reaction{Milliseconds(5), GoodReply(send, "")};
+    };
+  }
   RelayWorld world;
 };
 
@@ -120,12 +129,7 @@
 
 TEST_CASE("A broken connection is followed by a check before more work") {
   IntakeWorld intake;
-  intake.world.client.script = [](const RelaySend& send) {
-    if (send.server.Text() == "s1") {
-      return Reaction{Milliseconds(5), RelayFailure::kLost};
-    }
-    return Reaction{Milliseconds(5), GoodReply(send, "")};
-  };
+  intake.BreakFirstServer();
   intake.world.client.health = [](const state::InstanceId& /*server*/) {
     return std::optional<ServerHealth>();
   };
@@ -192,12 +196,7 @@
 
 TEST_CASE("A check that finds another server ends the old one") {
   IntakeWorld intake;
-  intake.world.client.script = [](const RelaySend& send) {
-    if (send.server.Text() == "s1") {
-      return Reaction{Milliseconds(5), RelayFailure::kLost};
-    }
-    return Reaction{Milliseconds(5), GoodReply(send, "")};
-  };
+  intake.BreakFirstServer();
   intake.world.client.health = [](const state::InstanceId& /*server*/) {
     return ServerHealth{state::InstanceId("other"), true, state::Duration(0)};
   };
