Tell the fault proxy's sources apart by their address

Cause: 'A failure domain that is cut off harms no answer' was red because of the stand-in, not the hosts. The fault proxy looked up who opens a connection in the kernel's socket table, which took 49 ms a connection (mean of 1,223 look-ups, up to 145 ms) on the two threads that also carry all bytes. Each timed out call opens another connection, so the proxy stayed saturated; by the time of the look-up the socket was gone, so 1,100 of 1,223 sources were unknown and not even cut. Calls within one failure domain took 300 ms.

Ruled out: cold servers and admission (servers reported 0 to 2 of 4 slots in use while 10 calls a server waited), the hosts' view of the cut (all three saw each other alive: nothing was cut).

Change: a host may be told the address that it connects from (connect_from, useful on machines with several); the deployment under test gives each failure domain an address, and the proxy reads it off the connection.

--- a/daemons/host_application.cc
+++ b/daemons/host_application.cc
@@ -45,6 +45,12 @@
   return identity;
 }
 
+transport::PeerLinkLimits PeerLimitsOf(const HostSettings& settings) {
+  transport::PeerLinkLimits limits;
+  limits.connect_from = settings.connect_from;
+  return limits;
+}
+
 }  // namespace
 
 struct HostApplication::Parts {
@@ -73,8 +79,10 @@
         threads(settings.threads),
         timers(threads.Context()),
         random(origin),
-        peer_link(threads.Context(), identity, peer_router, {}),
-        platform(threads.Context(), clock, settings.platform),
+        peer_link(threads.Context(), identity, peer_router,
+                  PeerLimitsOf(settings)),
+        platform(threads.Context(), clock, settings.platform,
+                 settings.connect_from),
         keeper(catalogue, codec, audit),
         fleet(settings.policies, clock, timers, random, identity,
               settings.seed_peers, peer_link, platform, platform, catalogue,
@@ -86,7 +94,8 @@
               server_parts.fleet_gate,
               settings.policies == PolicySet::kNaive
                   ? transport::ConnectionChecks::kNone
-                  : transport::ConnectionChecks::kSilent),
+                  : transport::ConnectionChecks::kSilent,
+              settings.connect_from),
         backend(clock, pools),
         health(clock, pools),
         prober(clock, timers, random, health, servers, server_parts.roster,
--- a/daemons/host_settings.cc
+++ b/daemons/host_settings.cc
@@ -48,6 +48,7 @@
   for (const json& peer : reader.ArrayOrEmpty("seed_peers")) {
     settings.seed_peers.push_back(ReadEndpoint(reader, peer, "/seed_peers"));
   }
+  settings.connect_from = reader.StringOr("connect_from", "");
   settings.threads = static_cast<std::size_t>(
       reader.UnsignedOr("threads", settings.threads, kMaxThreads));
   settings.policies =
--- a/daemons/host_settings.h
+++ b/daemons/host_settings.h
@@ -23,6 +23,9 @@
   state::Endpoint platform;
   std::vector<state::Endpoint>
       seed_peers;  ///< asked before the platform answers
+  /// IP number that connections are made from; empty to leave it to the
+  /// system.
+  std::string connect_from;
   std::size_t threads = 2;
   PolicySet policies = PolicySet::kFull;
   coordination::LogSeverity log_severity = coordination::LogSeverity::kInfo;
--- a/include/banyanknot/transport/backend_pools.h
+++ b/include/banyanknot/transport/backend_pools.h
@@ -2,6 +2,7 @@
 #define BANYANKNOT_TRANSPORT_BACKEND_POOLS_H_
 
 #include <memory>
+#include <string>
 
 #include "banyanknot/coordination/clock.h"
 #include "banyanknot/coordination/servers/connection_shares.h"
@@ -31,11 +32,12 @@
 /// passes to another server, gets connections of its own.
 class BackendPools {
  public:
+  /// \param connect_from as in HttpPoolOptions
   BackendPools(boost::asio::io_context& context,
                const coordination::Clock& clock,
                const coordination::ConnectionShares& shares,
                coordination::ServerConnectionListener& listener,
-               ConnectionChecks checks);
+               ConnectionChecks checks, std::string connect_from);
 
   /// \brief The connections to `server` at `endpoint`.
   ServerPools Of(const state::ServerId& server,
@@ -63,6 +65,7 @@
   const coordination::ConnectionShares& shares;
   coordination::ServerConnectionListener& listener;
   const ConnectionChecks checks;
+  const std::string connect_from;
   state::ShardedTable<std::string, Entry> entries;
 };
 
--- a/include/banyanknot/transport/http_pool_options.h
+++ b/include/banyanknot/transport/http_pool_options.h
@@ -36,9 +36,23 @@
   /// Whether an idle connection is watched for a close by the server. Without
   /// it a close is found out when the connection is next used.
   bool watches_idle = true;
+  /// IP number of this host that connections are made from; empty to leave it
+  /// to the system.
+  std::string connect_from;
   /// Told when the other side closes an idle connection, with the time since
   /// its last reply; called on any thread with no lock held. May be empty.
   std::function<void(state::Duration quiet_for)> on_closed_by_server;
+
+  /// \brief Options of a pool that takes no call for a sign of silence.
+  static HttpPoolOptions Unchecked(std::size_t max_connections) {
+    // Longer than any call, a watch that waits among them.
+    constexpr state::Duration kUncheckedSilence =
+        state::Milliseconds(3'600'000);
+    HttpPoolOptions options;
+    options.limits = {max_connections, max_connections};
+    options.silence_bound = kUncheckedSilence;
+    return options;
+  }
 };
 
 }  // namespace banyanknot::transport
--- a/include/banyanknot/transport/peer_tcp_link.h
+++ b/include/banyanknot/transport/peer_tcp_link.h
@@ -4,6 +4,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <memory>
+#include <string>
 #include <vector>
 
 #include "banyanknot/coordination/metric_source.h"
@@ -18,7 +19,7 @@
 
 namespace banyanknot::transport {
 
-/// \brief Bounds and times of a PeerTcpLink.
+/// \brief Bounds and times of a PeerTcpLink, and where it connects from.
 struct PeerLinkLimits {
   state::Duration keep_alive_interval = state::Milliseconds(1'000);
   std::size_t max_unanswered = 2;  ///< keep-alives before a replacement
@@ -29,6 +30,7 @@
   std::size_t max_queued_messages = 256;  ///< for each peer
   std::size_t max_queued_bytes = 4u << 20;
   std::size_t max_incoming = 2048;  ///< accepted connections
+  std::string connect_from;  ///< IP number; empty to leave it to the system
 };
 
 /// \brief What a PeerTcpLink has counted since its start.
--- a/include/banyanknot/transport/platform_http_client.h
+++ b/include/banyanknot/transport/platform_http_client.h
@@ -14,9 +14,11 @@
 class PlatformHttpClient : public coordination::ConfigurationSource,
                            public coordination::HostListSource {
  public:
+  /// \param connect_from as in HttpPoolOptions
   PlatformHttpClient(boost::asio::io_context& context,
                      const coordination::Clock& clock,
-                     const state::Endpoint& platform);
+                     const state::Endpoint& platform,
+                     const std::string& connect_from);
 
   void Read(std::uint64_t since,
             coordination::RawUpdateHandler handler) override;
--- a/src/protocol/json_schema_texts.cc
+++ b/src/protocol/json_schema_texts.cc
@@ -20,6 +20,7 @@
     "peer_listen": {"$ref": "#/definitions/endpoint"},
     "platform": {"$ref": "#/definitions/endpoint"},
     "seed_peers": {"type": "array", "maxItems": 64, "items": {"$ref": "#/definitions/endpoint"}},
+    "connect_from": {"type": "string", "pattern": "^[0-9a-fA-F:.]+$"},
     "threads": {"type": "integer", "minimum": 1, "maximum": 256},
     "policies": {"enum": ["full", "naive"]},
     "log_severity": {"enum": ["info", "warning", "error"]},
--- a/src/transport/backend_pools.cc
+++ b/src/transport/backend_pools.cc
@@ -26,10 +26,11 @@
           std::max<std::size_t>(1, share.lasting)};
 }
 
-HttpPoolOptions ControlOptions() {
+HttpPoolOptions ControlOptions(const std::string& connect_from) {
   HttpPoolOptions options;
   options.max_waiting = kMaxWaitingControl;
   options.idle_lifetime = kControlIdleLifetime;
+  options.connect_from = connect_from;
   return options;
 }
 
@@ -39,12 +40,13 @@
                            const coordination::Clock& clock,
                            const coordination::ConnectionShares& shares,
                            coordination::ServerConnectionListener& listener,
-                           ConnectionChecks checks)
+                           ConnectionChecks checks, std::string connect_from)
     : context(context),
       clock(clock),
       shares(shares),
       listener(listener),
-      checks(checks) {}
+      checks(checks),
+      connect_from(std::move(connect_from)) {}
 
 ServerPools BackendPools::Of(const state::ServerId& server,
                              const state::Endpoint& endpoint) {
@@ -63,6 +65,7 @@
   HttpPoolOptions options;
   options.limits = ToLimits(this->shares.Of(server, endpoint));
   options.max_waiting = kMaxWaitingRequests;
+  options.connect_from = this->connect_from;
   if (this->checks == ConnectionChecks::kSilent) {
     options.check_target = protocol::kHealthPath;
   } else {
@@ -72,10 +75,11 @@
                                  server](state::Duration quiet_for) {
     listener.OnClosedByServer(server, quiet_for);
   };
-  return {std::make_shared<HttpConnectionPool>(this->context, this->clock,
-                                               endpoint, std::move(options)),
-          std::make_shared<HttpConnectionPool>(this->context, this->clock,
-                                               endpoint, ControlOptions())};
+  return {
+      std::make_shared<HttpConnectionPool>(this->context, this->clock, endpoint,
+                                           std::move(options)),
+      std::make_shared<HttpConnectionPool>(this->context, this->clock, endpoint,
+                                           ControlOptions(this->connect_from))};
 }
 
 void BackendPools::ApplyShares() {
--- a/src/transport/client_connection.cc
+++ b/src/transport/client_connection.cc
@@ -13,6 +13,7 @@
 #include <optional>
 #include <utility>
 
+#include "transport/connect_from.h"
 #include "transport/http_convert.h"
 
 namespace banyanknot::transport::internal {
@@ -129,11 +130,17 @@
     this->FinishWith(TransportError::kResolve);
     return;
   }
+  const tcp::endpoint endpoint(address, this->pool->endpoint.port);
+  OpenFrom(this->pool->options.connect_from, endpoint.protocol(),
+           this->stream.socket(), error);
+  if (error) {
+    this->FinishWith(TransportError::kConnect);
+    return;
+  }
   this->stream.expires_at(this->current->call.send_before);
   this->stream.async_connect(
-      tcp::endpoint(address, this->pool->endpoint.port),
-      [self =
-           this->shared_from_this()](const beast::error_code& connect_error) {
+      endpoint, [self = this->shared_from_this()](
+                    const beast::error_code& connect_error) {
         if (connect_error) {
           self->FinishWith(self->ConnectError(connect_error));
         } else {
--- a/src/transport/http_connection_pool.cc
+++ b/src/transport/http_connection_pool.cc
@@ -10,20 +10,6 @@
 
 namespace asio = boost::asio;
 
-namespace {
-
-/// Longer than any call, so that a waiting watch is no silence.
-constexpr state::Duration kUncheckedSilence = state::Milliseconds(3'600'000);
-
-HttpPoolOptions UncheckedOptions(std::size_t max_connections) {
-  HttpPoolOptions options;
-  options.limits = {max_connections, max_connections};
-  options.silence_bound = kUncheckedSilence;
-  return options;
-}
-
-}  // namespace
-
 HttpConnectionPool::HttpConnectionPool(asio::io_context& context,
                                        const coordination::Clock& clock,
                                        state::Endpoint endpoint,
@@ -36,7 +22,7 @@
                                        state::Endpoint endpoint,
                                        std::size_t max_connections)
     : HttpConnectionPool(context, clock, std::move(endpoint),
-                         UncheckedOptions(max_connections)) {}
+                         HttpPoolOptions::Unchecked(max_connections)) {}
 
 HttpConnectionPool::~HttpConnectionPool() { this->Shutdown(); }
 
--- a/src/transport/peer_channel_connection.cc
+++ b/src/transport/peer_channel_connection.cc
@@ -3,6 +3,7 @@
 #include <optional>
 #include <utility>
 
+#include "transport/connect_from.h"
 #include "transport/peer_channel.h"
 
 namespace banyanknot::transport::internal {
@@ -21,6 +22,11 @@
   boost::system::error_code error;
   const asio::ip::address address =
       asio::ip::make_address(this->channel->peer.address, error);
+  const tcp::endpoint endpoint(address, this->channel->peer.port);
+  if (!error) {
+    OpenFrom(this->channel->limits.connect_from, endpoint.protocol(),
+             this->socket, error);
+  }
   if (error) {
     this->channel->OnConnectFailed();
     this->Close();
@@ -34,9 +40,8 @@
     self->socket.close(ignored);  // fails the attempt
   });
   this->socket.async_connect(
-      tcp::endpoint(address, this->channel->peer.port),
-      [self = this->shared_from_this()](
-          const boost::system::error_code& connect_error) {
+      endpoint, [self = this->shared_from_this()](
+                    const boost::system::error_code& connect_error) {
         if (self->is_closed) return;
         if (connect_error) {
           self->channel->OnConnectFailed();
--- a/src/transport/platform_http_client.cc
+++ b/src/transport/platform_http_client.cc
@@ -34,6 +34,12 @@
   return state::TakeValue(std::move(decoded));
 }
 
+HttpPoolOptions OptionsOf(const std::string& connect_from) {
+  HttpPoolOptions options = HttpPoolOptions::Unchecked(kPlatformConnections);
+  options.connect_from = connect_from;
+  return options;
+}
+
 HttpCallHandler UpdateHandler(coordination::RawUpdateHandler handler) {
   return [handler = std::move(handler)](const HttpCallResult& result) {
     handler(DecodeResponse<coordination::RawUpdate>(result,
@@ -45,8 +51,9 @@
 
 PlatformHttpClient::PlatformHttpClient(boost::asio::io_context& context,
                                        const coordination::Clock& clock,
-                                       const state::Endpoint& platform)
-    : clock(clock), pool(context, clock, platform, kPlatformConnections) {}
+                                       const state::Endpoint& platform,
+                                       const std::string& connect_from)
+    : clock(clock), pool(context, clock, platform, OptionsOf(connect_from)) {}
 
 void PlatformHttpClient::Get(const std::string& target, state::Duration timeout,
                              HttpCallHandler handler) {
--- a/standins/deployment.cc
+++ b/standins/deployment.cc
@@ -179,6 +179,9 @@
     settings["domain"] = host.domain;
     settings["caller_listen"] = ToJson(host.caller);
     settings["peer_listen"] = ToJson(host.peer);
+    if (this->proxy != nullptr) {
+      settings["connect_from"] = this->proxy->locator.AddressOf(host.domain);
+    }
     if (!settings.contains("platform")) {
       settings["platform"] = ToJson(this->PlatformFor(host.domain));
     }
@@ -200,9 +203,6 @@
       this->Program("banyanknot_host"),
       std::vector<std::string>{"--settings=" + host.settings_file},
       this->folder.Path() + "/errors");
-  if (this->proxy != nullptr) {
-    this->proxy->locator.SetProcess(host.process->Pid(), host.domain);
-  }
   return host.process->ReadJsonLine(kStartBound).has_value();
 }
 
--- a/standins/deployment.h
+++ b/standins/deployment.h
@@ -47,7 +47,7 @@
   ~ProxyParts();
 
   transport::IoThreads threads;
-  ProcessSourceLocator locator;
+  AddressSourceLocator locator;
   coordination::SeededRandomSource random;
   FaultProxy proxy;
 };
--- a/standins/fault_proxy.cc
+++ b/standins/fault_proxy.cc
@@ -97,7 +97,7 @@
 bool FaultProxy::Impl::IsCut(ProxyConnection& connection) {
   std::string from = connection.FromDomain();
   if (from.empty()) {
-    from = this->locator.DomainOf(connection.SourcePort());
+    from = this->locator.DomainOf(connection.SourceAddress());
     connection.SetFromDomain(from);
   }
   return this->cuts.IsCut(from, connection.Route().route.to_domain);
--- a/standins/proxy_connection.cc
+++ b/standins/proxy_connection.cc
@@ -25,7 +25,8 @@
       requests(this->source, this->target, this->strand, false),
       replies(this->target, this->source, this->strand, true) {
   error_code ignored;
-  this->source_port = this->source.remote_endpoint(ignored).port();
+  this->source_address =
+      this->source.remote_endpoint(ignored).address().to_string();
   this->from_domain = this->route->route.from_domain;
 }
 
--- a/standins/proxy_connection.h
+++ b/standins/proxy_connection.h
@@ -51,7 +51,7 @@
   /// \brief Carries nothing any more, and closes nothing either.
   void GoSilent() { this->is_silent = true; }
   const RouteState& Route() const { return *this->route; }
-  std::uint16_t SourcePort() const { return this->source_port; }
+  const std::string& SourceAddress() const { return this->source_address; }
 
   /// \brief Failure domain of the connecting side; set once it is known.
   std::string FromDomain() const;
@@ -90,7 +90,7 @@
   Socket target;
   Pump requests;
   Pump replies;
-  std::uint16_t source_port = 0;
+  std::string source_address;
   std::uint64_t reply_bytes = 0;
   std::atomic<bool> is_silent{false};
   bool is_closed = false;
--- a/standins/source_locator.h
+++ b/standins/source_locator.h
@@ -1,9 +1,6 @@
 #ifndef BANYANKNOT_STANDINS_SOURCE_LOCATOR_H_
 #define BANYANKNOT_STANDINS_SOURCE_LOCATOR_H_
 
-#include <sys/types.h>
-
-#include <cstdint>
 #include <map>
 #include <mutex>
 #include <string>
@@ -17,27 +14,27 @@
  public:
   virtual ~SourceLocator() = default;
 
-  /// \param port the connection's port on the connecting side
+  /// \param address IP number of the connecting side
   /// \returns the failure domain; empty if it is not known
-  virtual std::string DomainOf(std::uint16_t port) = 0;
+  virtual std::string DomainOf(const std::string& address) = 0;
 };
 
 /// \brief Knows no sources; for routes that are labelled themselves.
 class NoSourceLocator : public SourceLocator {
  public:
-  std::string DomainOf(std::uint16_t /*port*/) override { return ""; }
+  std::string DomainOf(const std::string& /*address*/) override { return ""; }
 };
 
-/// \brief Finds sources by the sockets that known processes hold.
-class ProcessSourceLocator : public SourceLocator {
+/// \brief Gives each failure domain an address to connect from.
+class AddressSourceLocator : public SourceLocator {
  public:
-  /// \brief Names the failure domain of a process.
-  void SetProcess(pid_t pid, const std::string& domain);
-  std::string DomainOf(std::uint16_t port) override;
+  /// \returns the loopback address of a failure domain, always the same
+  std::string AddressOf(const std::string& domain);
+  std::string DomainOf(const std::string& address) override;
 
  private:
   std::mutex mutex;
-  std::map<pid_t, std::string> domains;
+  std::map<std::string, std::string> addresses;  // by failure domain
 };
 
 }  // namespace banyanknot::standins
--- a/test/integration/loaded_deployment.cc
+++ b/test/integration/loaded_deployment.cc
@@ -50,12 +50,25 @@
       this->load.Report(nlohmann::json::object());
   const std::uint64_t wanted =
       before.latencies_ms.size() + static_cast<std::size_t>(count);
-  return WaitUntil(
+  const bool came = WaitUntil(
       [this, wanted] {
         return this->load.Report(nlohmann::json::object())
                    .latencies_ms.size() >= wanted;
       },
       kAnswersBound);
+  if (!came) this->TellWhatCame(before);
+  return came;
+}
+
+void LoadedDeployment::TellWhatCame(const standins::LoadReport& before) {
+  const standins::LoadReport now = this->load.Report(nlohmann::json::object());
+  UNSCOPED_INFO("sent " << now.queries - before.queries);
+  for (const auto& [outcome, count] : now.outcomes) {
+    const auto found = before.outcomes.find(outcome);
+    const std::uint64_t earlier =
+        found == before.outcomes.end() ? 0 : found->second;
+    if (count > earlier) UNSCOPED_INFO(outcome << ": " << count - earlier);
+  }
 }
 
 standins::LoadReport LoadedDeployment::Finish() {
--- a/test/integration/loaded_deployment.h
+++ b/test/integration/loaded_deployment.h
@@ -36,6 +36,10 @@
   std::uint64_t CounterOf(const std::string& server, const char* counter);
 
  private:
+  /// \brief Notes for the next failed check how the requests since `before`
+  /// ended.
+  void TellWhatCame(const standins::LoadReport& before);
+
   standins::Deployment deployment;
   standins::LoadGenerator load;
 };
--- a/test/transport/http_connection_pool_test.cc
+++ b/test/transport/http_connection_pool_test.cc
@@ -70,6 +70,26 @@
   return options;
 }
 
+TEST_CASE("A pool connects from the address that it is told") {
+  HttpPoolOptions options = OptionsOf(1);
+  options.connect_from = "127.0.0.77";
+  PoolFixture fixture([](const Seen&) { return Step::kAnswer; },
+                      std::move(options));
+  REQUIRE(state::IsOk(fixture.Run("x", Milliseconds(5'000))));
+  CHECK(fixture.server.Requests().front().source == "127.0.0.77");
+}
+
+TEST_CASE("A pool that can't connect from its address says that nothing ran") {
+  HttpPoolOptions options = OptionsOf(1);
+  options.connect_from = "192.0.2.1";  // of no machine
+  PoolFixture fixture([](const Seen&) { return Step::kAnswer; },
+                      std::move(options));
+  const HttpCallResult result = fixture.Run("x", Milliseconds(5'000));
+  REQUIRE_FALSE(state::IsOk(result));
+  CHECK(state::ErrorOf(result) == TransportError::kConnect);
+  CHECK(fixture.server.Connections() == 0);
+}
+
 struct FaultRow {
   std::string name;
   Step step;
--- a/test/transport/scripted_server.h
+++ b/test/transport/scripted_server.h
@@ -36,6 +36,7 @@
   int connection = 0;  ///< counts from 0
   std::string target;
   std::string body;
+  std::string source;  ///< IP number that the connection came from
 };
 
 /// \brief Serves real sockets on loopback as a test scripts it.
@@ -84,6 +85,7 @@
     Connection(std::shared_ptr<Shared> server, tcp::socket socket, int index)
         : server(std::move(server)), socket(std::move(socket)), index(index) {}
     void ReadNext();
+    std::string Source() const;
     void Perform(Step step);
     void WriteAndClose(const std::string& bytes);
     void WriteAndReadOn(std::string text);
@@ -120,7 +122,7 @@
                                         std::size_t /*bytes*/) {
         if (error) return;
         const Seen seen{self->index, std::string(self->request.target()),
-                        self->request.body()};
+                        self->request.body(), self->Source()};
         {
           const std::lock_guard<std::mutex> lock(self->server->mutex);
           self->server->seen.push_back(seen);
@@ -129,6 +131,11 @@
       });
 }
 
+inline std::string ScriptedServer::Connection::Source() const {
+  boost::system::error_code ignored;
+  return this->socket.remote_endpoint(ignored).address().to_string();
+}
+
 inline void ScriptedServer::Connection::Perform(Step step) {
   const std::string answer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}";
   boost::system::error_code ignored;
