Refuse what finds no room in time at once, and say when to come back

Ruled out: a shorter line (64 waiters): it refuses those who could be served where servers are quick, and keeps those who can't where they are slow.

RelayRun gave its parts and attempts to RelayParts, its times to RelayTimes. The log line of a request names the parts needed, the expected wait and the Retry-After, that of a doubt the time since the last reply.

--- a/daemons/relay_application.cc
+++ b/daemons/relay_application.cc
@@ -84,9 +84,11 @@
         checker(clock, timers, client, routes, log),
         budget(ExtraLimits(settings)),
         hedges(kHedgeQuantile),
+        returns(random),
         journal(log),
         executor(clock, timers, client, routes,
-                 {servers, budget, hedges, random}, checker, journal),
+                 {servers, budget, hedges, line, returns}, line, checker,
+                 journal),
         intake(clock, timers, client, routes, servers, checker, log),
         source(sources.Make(threads.Context(), clock, settings.source)),
         follower(clock, timers, random, *source, intake, log,
@@ -123,6 +125,8 @@
   coordination::ServerChecker checker;
   coordination::ExtraRequestBudget budget;
   coordination::QuantileHedgeClock hedges;
+  coordination::WaitLine line;
+  coordination::PacedReturns returns;
   coordination::RelayJournal journal;
   coordination::RelayExecutor executor;
   coordination::RoutingIntake intake;
--- a/include/banyanknot/coordination/routing/relay_executor.h
+++ b/include/banyanknot/coordination/routing/relay_executor.h
@@ -34,7 +34,7 @@
 
   RelayExecutor(const Clock& clock, TimerService& timers, RelayClient& client,
                 const RouteDirectory& routes, RelayPolicies policies,
-                ServerChecker& checker, RelayJournal& journal);
+                WaitLine& line, ServerChecker& checker, RelayJournal& journal);
 
   /// \brief Runs a request.
   /// \param handler called exactly once, possibly before Run() returns; not
@@ -79,10 +79,10 @@
   RelayClient& client;
   const RouteDirectory& routes;
   RelayPolicies policies;
+  WaitLine& line;
   ServerChecker& checker;
   RelayJournal& journal;
   SplitChooser splits;
-  WaitLine line;
   std::atomic<std::uint64_t> next_number{1};
   std::atomic<std::size_t> unanswered{0};
   state::ShardedTable<std::uint64_t, Entry> entries;
--- a/include/banyanknot/coordination/routing/relay_run.h
+++ b/include/banyanknot/coordination/routing/relay_run.h
@@ -9,30 +9,22 @@
 #include <vector>
 
 #include "banyanknot/coordination/routing/relay_effects.h"
+#include "banyanknot/coordination/routing/relay_parts.h"
 #include "banyanknot/coordination/routing/relay_policies.h"
+#include "banyanknot/coordination/routing/relay_times.h"
 #include "banyanknot/coordination/routing/top_record_merger.h"
 #include "banyanknot/state/routing/route_table.h"
 
 namespace banyanknot::coordination {
 
-/// \brief Counts of one run, for the log and the metrics.
-struct RelayCounts {
-  std::size_t parts = 0;
-  std::size_t parts_in = 0;
-  std::size_t sent = 0;     ///< requests to servers
-  std::size_t extra = 0;    ///< of these, beyond the first of each part
-  std::size_t unsent = 0;   ///< for which no connection was made
-  std::size_t refused = 0;  ///< by servers, as not run
-  std::size_t erred = 0;    ///< ended in a failure or in nothing
-};
-
 /// \brief Decides one request: where its parts go, when another server is
 /// asked too, when there is an answer and which.
 ///
 /// A relayed request has one part, a gathered one a part for each shard. The
-/// run is one version's: it keeps the table that its route came from. Pure of
-/// sockets and timers. Not thread-safe: its executor hands it one event at a
-/// time.
+/// run is one version's: it keeps the table that its route came from. What
+/// can't be served, or no more in time, is answered the moment that is known.
+/// Pure of sockets and timers. Not thread-safe: its executor hands it one event
+/// at a time.
 class RelayRun {
  public:
   /// \param table of which `route` is a member
@@ -64,66 +56,57 @@
   const state::Route& Route() const { return this->route; }
   std::uint64_t Version() const { return this->table->Version(); }
   const RelayCounts& Counts() const { return this->counts; }
-  state::TimePoint End() const { return this->end; }
+  /// \brief What was foretold where there was no room in time; zero if
+  /// nothing was.
+  state::Duration CrowdedWait() const { return this->crowded_wait.wait; }
+  state::TimePoint End() const { return this->times.end; }
   /// \brief The services whose parts are not in, a few of them, for the log.
-  std::string MissingText() const;
+  std::string MissingText() const { return this->parts.MissingText(); }
 
  private:
-  struct Part {
-    state::ServiceId service;
-    std::vector<state::InstanceId> tried;
-    std::size_t arrivals = 0;  // requests that may have reached a server
-    std::size_t unsent = 0;
-    std::size_t open = 0;  // attempts that wait for a reply
-    bool is_in = false;
-    bool is_waiting = false;  // for room
-    bool may_have_run = false;
-    state::TimePoint hedge_at;          // the end of time if there is none
-    std::optional<RelayReply> failure;  // a server's own
-  };
-
-  struct Attempt {
-    std::size_t part = 0;
-    TrackedServerPtr server;
-    state::TimePoint sent_at;
-    bool is_open = true;
-  };
+  /// Why a part got no server.
+  enum class Shortage { kNone, kNoServer, kNoRoomInTime };
 
-  bool CanReachFloor(state::TimePoint now) const;
-  bool Launch(Part& part, state::TimePoint now, RelayEffects& effects);
-  void LaunchOrWait(Part& part, state::TimePoint now, RelayEffects& effects);
-  bool MayLaunch(const Part& part) const;
-  bool PaysFor(const Part& part, state::TimePoint now);
+  Shortage ShortageOf(const RelayPart& part, state::TimePoint now) const;
+  ExpectedWait ForecastFor(const RelayPart& part) const;
+  bool IsTooLate(const RelayPart& part, state::TimePoint now) const;
+  void NoteCrowded(const RelayPart& part);
+  Shortage FloorShortage(state::TimePoint now);
+  bool Launch(RelayPart& part, state::TimePoint now, RelayEffects& effects);
+  void LaunchOrWait(RelayPart& part, state::TimePoint now,
+                    RelayEffects& effects);
+  bool MayLaunch(const RelayPart& part) const;
+  bool PaysFor(const RelayPart& part, state::TimePoint now);
   void Hedge(state::TimePoint now, RelayEffects& effects);
   AttemptEnd Classify(const RelayResult& result) const;
-  void TakePart(Part& part, const RelayReply& reply);
-  void TakeFailure(Part& part, AttemptEnd end, const RelayResult& result,
+  void TakePart(RelayPart& part, const RelayReply& reply);
+  void TakeFailure(RelayPart& part, AttemptEnd end, const RelayResult& result,
                    state::TimePoint now, RelayEffects& effects);
+  void CountFailure(RelayPart& part, AttemptEnd end);
   void Evaluate(state::TimePoint now, RelayEffects& effects);
   void EvaluateGather(state::TimePoint now, RelayEffects& effects);
   void EvaluateRelay(state::TimePoint now, RelayEffects& effects);
+  void EndIfHopeless(state::TimePoint now, RelayEffects& effects);
   void AnswerMerged(RelayEffects& effects);
   void AnswerReply(RelayReply reply, RelayEffects& effects);
   void Fail(state::RelayOutcome if_run, const char* reason,
             state::TimePoint now, RelayEffects& effects);
-  void Withdraw(state::TimePoint now, RelayEffects& effects);
   void SetWake(state::TimePoint now, RelayEffects& effects);
-  state::Duration DrawRetryAfter();
 
   RelayPolicies policies;
   const std::shared_ptr<const state::RelayRequest> request;
   const state::RouteTablePtr table;
   const state::Route& route;
-  const std::size_t needed;  // parts of the least answer
-  std::vector<Part> parts;
-  std::vector<Attempt> attempts;
+  const RelayTimes times;
+  RelayParts parts;
+  RelayCounts counts;
   TopRecordMerger merger;
   std::vector<std::string> signatures;
   std::optional<RelayReply> reply;  // of a relayed request
-  state::TimePoint due;      // when an answer is sent with the parts at hand
-  state::TimePoint end;      // when there is no more use in an answer
-  state::TimePoint wake_at;  // the next one that was asked for
-  RelayCounts counts;
+  state::TimePoint wake_at;         // the next one that was asked for
+  // Of the service that a part found crowded, for the time of return.
+  state::ServiceId crowded_service;
+  ExpectedWait crowded_wait;
   bool is_answered = false;
 };
 
--- a/include/banyanknot/coordination/routing/server_directory.h
+++ b/include/banyanknot/coordination/routing/server_directory.h
@@ -50,6 +50,11 @@
   bool HasUsable(const state::ServiceId& service,
                  const std::vector<state::InstanceId>& tried,
                  state::TimePoint now) const override;
+  state::Duration UsualReply(const state::ServiceId& service,
+                             state::TimePoint now) const override;
+  bool HasRoom(const state::ServiceId& service,
+               const std::vector<state::InstanceId>& tried,
+               state::TimePoint now) const override;
   /// \brief Counts servers of other failure domains; those that nothing was
   /// sent to of late say nothing.
   /// \param since what is older is not of late
--- a/include/banyanknot/coordination/routing/server_picker.h
+++ b/include/banyanknot/coordination/routing/server_picker.h
@@ -23,6 +23,15 @@
   virtual bool HasUsable(const state::ServiceId& service,
                          const std::vector<state::InstanceId>& tried,
                          state::TimePoint now) const = 0;
+
+  /// \brief Tells whether Pick() would find a server.
+  virtual bool HasRoom(const state::ServiceId& service,
+                       const std::vector<state::InstanceId>& tried,
+                       state::TimePoint now) const = 0;
+
+  /// \brief Time that the quickest server of a service usually takes.
+  virtual state::Duration UsualReply(const state::ServiceId& service,
+                                     state::TimePoint now) const = 0;
 };
 
 }  // namespace banyanknot::coordination
--- a/include/banyanknot/coordination/routing/tracked_server.h
+++ b/include/banyanknot/coordination/routing/tracked_server.h
@@ -51,6 +51,9 @@
   bool IsUsable(state::TimePoint now) const;
   bool NeedsCheck() const;
   bool HasReplied(state::TimePoint since) const;
+  /// \brief Time since its last reply; since this host's clock began if there
+  /// was none.
+  state::Duration QuietFor(state::TimePoint now) const;
   /// \brief Tells whether the last tries to reach it failed.
   bool IsUnreached() const;
   /// \brief Name of the doubt; empty if there is none.
@@ -59,6 +62,9 @@
   void NoteCheckFailed();
   state::Duration CheckDelay() const;
 
+  /// \brief Time that it usually takes for a request.
+  state::Duration UsualReply(state::TimePoint now) const;
+
   /// \brief Expected time until it has answered one more request.
   /// \returns nothing if it may get none now
   std::optional<state::Duration> Cost(state::TimePoint now) const;
@@ -72,6 +78,8 @@
 
  private:
   bool IsUsableLocked(state::TimePoint now) const;
+  double UsualMsLocked(state::TimePoint now) const;
+  bool IsSilenceLocked(state::Duration unanswered) const;
   state::Duration SilenceLocked(state::TimePoint now) const;
   void CountReplyLocked(state::Duration time, bool is_failure);
 
--- a/src/coordination/routing/relay_executor.cc
+++ b/src/coordination/routing/relay_executor.cc
@@ -5,8 +5,6 @@
 namespace banyanknot::coordination {
 namespace {
 
-/// Waiters of one service; far more than can be served before they are due.
-constexpr std::size_t kMostWaiters = 64;
 /// Time after which a caller may ask a host that knows no routes yet again.
 constexpr state::Duration kRetryUnconfigured = state::Milliseconds(200);
 
@@ -14,16 +12,16 @@
 
 RelayExecutor::RelayExecutor(const Clock& clock, TimerService& timers,
                              RelayClient& client, const RouteDirectory& routes,
-                             RelayPolicies policies, ServerChecker& checker,
-                             RelayJournal& journal)
+                             RelayPolicies policies, WaitLine& line,
+                             ServerChecker& checker, RelayJournal& journal)
     : clock(clock),
       timers(timers),
       client(client),
       routes(routes),
       policies(policies),
+      line(line),
       checker(checker),
-      journal(journal),
-      line(kMostWaiters) {}
+      journal(journal) {}
 
 std::uint64_t RelayExecutor::Refuse(const state::RelayRequest& request,
                                     state::RelayOutcome outcome,
@@ -122,7 +120,7 @@
   }
   for (const state::ServiceId& service : effects.waits) {
     const Waiter waiter{number, run->Route().priority, run->End()};
-    if (this->line.Join(service, waiter)) continue;
+    if (this->line.Join(service, waiter, this->clock.Now())) continue;
     this->Post(number, [this, service](RelayRun& full_run) {
       return full_run.OnNoRoom(service, this->clock.Now());
     });
--- a/src/coordination/routing/relay_journal.cc
+++ b/src/coordination/routing/relay_journal.cc
@@ -82,12 +82,17 @@
        {"deadline_ms",
         std::to_string(state::ToMilliseconds(run.Request().deadline))},
        {"parts", std::to_string(counts.parts)},
+       {"parts_needed", std::to_string(counts.needed)},
        {"parts_in", std::to_string(counts.parts_in)},
        {"sent", std::to_string(counts.sent)},
        {"extra", std::to_string(counts.extra)},
        {"unsent", std::to_string(counts.unsent)},
        {"refused", std::to_string(counts.refused)},
        {"erred", std::to_string(counts.erred)},
+       {"expected_wait_ms",
+        std::to_string(state::ToMilliseconds(run.CrowdedWait()))},
+       {"retry_after_ms",
+        std::to_string(state::ToMilliseconds(answer.retry_after))},
        {"missing", run.MissingText()}});
 }
 
--- a/src/coordination/routing/relay_run.cc
+++ b/src/coordination/routing/relay_run.cc
@@ -7,21 +7,18 @@
 namespace banyanknot::coordination {
 namespace {
 
-/// The caller's way here and back and the making of its connection, which
-/// count for its objective but can't be seen from here.
-constexpr state::Duration kCallerWay = state::Milliseconds(14);
-/// Time kept for the way back before the caller gives up.
-constexpr state::Duration kReturnTime = state::Milliseconds(12);
 /// Connections that a part tries to make in vain before it is given up.
 constexpr std::size_t kMostUnsent = 3;
-/// Spread of the time after which a refused caller may come back.
-constexpr std::int64_t kLeastRetryMs = 40;
-constexpr std::int64_t kRetrySpreadMs = 120;
 constexpr state::TimePoint kNever = state::TimePoint::max();
 constexpr unsigned kFirstServerError = 500;
 /// A hedge that finds no room or budget is tried again after this: about one
 /// request's time at a server.
 constexpr state::Duration kHedgeRetry = state::Milliseconds(15);
+/// Time from one look at a late gather's servers to the next; short against the
+/// time that a caller waits, and no two checks of a server come closer.
+constexpr state::Duration kHopeInterval = state::Milliseconds(40);
+/// Turns in a line come unevenly: a forecast is taken for this part longer.
+constexpr int kUnevenTurns = 4;
 /// Rounding of a share of shards that is given in decimals.
 constexpr double kShareEpsilon = 1e-9;
 
@@ -33,6 +30,13 @@
   return std::max<std::size_t>(1, static_cast<std::size_t>(needed));
 }
 
+RelayCounts FirstCounts(const state::Route& route, std::size_t parts) {
+  RelayCounts counts;
+  counts.parts = parts;
+  counts.needed = NeededOf(route);
+  return counts;
+}
+
 }  // namespace
 
 RelayRun::RelayRun(RelayPolicies policies,
@@ -43,62 +47,96 @@
       request(std::move(request)),
       table(std::move(table)),
       route(route),
-      needed(NeededOf(route)),
-      merger(route.top_records) {
-  this->parts.resize(services.size());
-  for (std::size_t index = 0; index < services.size(); ++index) {
-    this->parts[index].service = std::move(services[index]);
-    this->parts[index].hedge_at = kNever;
-  }
-  this->counts.parts = this->parts.size();
-  const state::TimePoint start = this->request->received_at;
-  this->due =
-      start + std::max(route.objective - kCallerWay, route.objective / 2);
-  const state::Duration patience = std::max(
-      this->request->deadline - kReturnTime, this->request->deadline / 2);
-  this->end = start + std::min(patience, route.timeout);
-  this->due = std::min(this->due, this->end);
-}
+      times(RelayTimes::Of(*this->request, route)),
+      parts(std::move(services)),
+      counts(FirstCounts(route, this->parts.All().size())),
+      merger(route.top_records) {}
 
 RelayEffects RelayRun::Start(state::TimePoint now) {
   RelayEffects effects;
-  for (const Part& part : this->parts) {
+  for (const RelayPart& part : this->parts.All()) {
     this->policies.budget.NoteRequest(part.service, now);
   }
-  if (!this->CanReachFloor(now)) {
-    this->Fail(state::RelayOutcome::kFailed, "no_usable_server", now, effects);
+  const Shortage shortage = this->FloorShortage(now);
+  if (shortage != Shortage::kNone) {
+    this->Fail(state::RelayOutcome::kNotRun,
+               shortage == Shortage::kNoServer ? "no_usable_server"
+                                               : "no_room_in_time",
+               now, effects);
     return effects;
   }
-  for (Part& part : this->parts) this->LaunchOrWait(part, now, effects);
+  for (RelayPart& part : this->parts.All()) {
+    this->LaunchOrWait(part, now, effects);
+  }
   this->Evaluate(now, effects);
   this->SetWake(now, effects);
   return effects;
 }
 
-bool RelayRun::CanReachFloor(state::TimePoint now) const {
-  std::size_t usable = 0;
-  for (const Part& part : this->parts) {
-    if (this->policies.picker.HasUsable(part.service, part.tried, now)) {
-      ++usable;
+ExpectedWait RelayRun::ForecastFor(const RelayPart& part) const {
+  return this->policies.waits.Forecast(
+      part.service, {0, this->route.priority, this->times.end});
+}
+
+RelayRun::Shortage RelayRun::ShortageOf(const RelayPart& part,
+                                        state::TimePoint now) const {
+  const ServerPicker& picker = this->policies.picker;
+  if (!picker.HasUsable(part.service, part.tried, now)) {
+    return Shortage::kNoServer;
+  }
+  const state::Duration wait = this->ForecastFor(part).wait;
+  const bool is_late =
+      now + wait + wait / kUnevenTurns + picker.UsualReply(part.service, now) >=
+      this->times.end;
+  return is_late && !picker.HasRoom(part.service, part.tried, now)
+             ? Shortage::kNoRoomInTime
+             : Shortage::kNone;
+}
+
+/// Tells of a part that waited whether a reply would come after the end.
+bool RelayRun::IsTooLate(const RelayPart& part, state::TimePoint now) const {
+  return now + this->policies.picker.UsualReply(part.service, now) >=
+         this->times.end;
+}
+
+void RelayRun::NoteCrowded(const RelayPart& part) {
+  this->crowded_service = part.service;
+  this->crowded_wait = this->ForecastFor(part);
+}
+
+/// What keeps the request from its least answer, before anything is sent.
+RelayRun::Shortage RelayRun::FloorShortage(state::TimePoint now) {
+  std::size_t served = 0;
+  Shortage worst = Shortage::kNone;
+  for (const RelayPart& part : this->parts.All()) {
+    const Shortage shortage = this->ShortageOf(part, now);
+    if (shortage == Shortage::kNone) {
+      ++served;
+      continue;
+    }
+    if (worst != Shortage::kNoServer) {
+      worst = shortage;
+      this->NoteCrowded(part);
     }
   }
-  return usable >= this->needed;
+  return served >= this->counts.needed ? Shortage::kNone : worst;
 }
 
-bool RelayRun::MayLaunch(const Part& part) const {
+bool RelayRun::MayLaunch(const RelayPart& part) const {
   return !this->is_answered && !part.is_in &&
          part.arrivals < this->route.max_attempts && part.unsent < kMostUnsent;
 }
 
-bool RelayRun::PaysFor(const Part& part, state::TimePoint now) {
+bool RelayRun::PaysFor(const RelayPart& part, state::TimePoint now) {
   if (part.arrivals == 0) return true;
   if (!this->policies.budget.TryTake(part.service, now)) return false;
   ++this->counts.extra;
   return true;
 }
 
-bool RelayRun::Launch(Part& part, state::TimePoint now, RelayEffects& effects) {
-  if (!this->MayLaunch(part) || now >= this->end) return false;
+bool RelayRun::Launch(RelayPart& part, state::TimePoint now,
+                      RelayEffects& effects) {
+  if (!this->MayLaunch(part) || now >= this->times.end) return false;
   const TrackedServerPtr server =
       this->policies.picker.Pick(part.service, part.tried, now);
   if (server == nullptr) return false;
@@ -106,34 +144,37 @@
     server->End(AttemptEnd::kWithdrawn, now, now, std::nullopt);
     return false;
   }
-  const std::uint32_t number =
-      static_cast<std::uint32_t>(this->attempts.size());
-  Attempt attempt;
-  attempt.part = static_cast<std::size_t>(&part - this->parts.data());
-  attempt.server = server;
-  attempt.sent_at = now;
-  this->attempts.push_back(attempt);
-  part.tried.push_back(server->Record().id);
-  part.is_waiting = false;
-  ++part.arrivals;
-  ++part.open;
+  const std::uint32_t number = this->parts.Open(part, server, now);
   ++this->counts.sent;
   const bool is_first = part.arrivals == 1;
   part.hedge_at =
       is_first && this->route.is_repeatable && this->route.max_attempts > 1
           ? now + this->policies.hedges.HedgeAfter(this->route)
           : kNever;
-  effects.sends.push_back({number, server, this->end});
+  effects.sends.push_back({number, server, this->times.end});
   return true;
 }
 
-void RelayRun::LaunchOrWait(Part& part, state::TimePoint now,
+void RelayRun::LaunchOrWait(RelayPart& part, state::TimePoint now,
                             RelayEffects& effects) {
+  const bool has_waited = std::exchange(part.is_waiting, false);
+  if (has_waited && this->IsTooLate(part, now)) {
+    this->NoteCrowded(part);
+    return;
+  }
   if (this->Launch(part, now, effects)) return;
-  part.is_waiting =
-      this->MayLaunch(part) && part.arrivals == 0 &&
-      this->policies.picker.HasUsable(part.service, part.tried, now);
-  if (part.is_waiting) effects.waits.push_back(part.service);
+  if (!this->MayLaunch(part) || part.arrivals > 0) return;
+  switch (this->ShortageOf(part, now)) {
+    case Shortage::kNone:
+      part.is_waiting = true;
+      effects.waits.push_back(part.service);
+      break;
+    case Shortage::kNoRoomInTime:
+      this->NoteCrowded(part);
+      break;
+    case Shortage::kNoServer:
+      break;
+  }
 }
 
 AttemptEnd RelayRun::Classify(const RelayResult& result) const {
@@ -158,22 +199,20 @@
 RelayEffects RelayRun::OnResult(std::uint32_t number, const RelayResult& result,
                                 state::TimePoint now) {
   RelayEffects effects;
-  Attempt& attempt = this->attempts[number];
-  if (!attempt.is_open) return effects;
-  attempt.is_open = false;
-  Part& part = this->parts[attempt.part];
-  --part.open;
+  const std::optional<state::TimePoint> sent_at = this->parts.Close(number);
+  if (!sent_at) return effects;
+  RelayPart& part = this->parts.PartOf(number);
+  const TrackedServerPtr& server = this->parts.ServerOf(number);
   const AttemptEnd end = this->Classify(result);
-  attempt.server->End(
-      end, attempt.sent_at, now,
-      state::IsOk(result) ? state::ValueOf(result).load : std::nullopt);
+  server->End(end, *sent_at, now,
+              state::IsOk(result) ? state::ValueOf(result).load : std::nullopt);
   if (state::IsOk(result) && state::ValueOf(result).is_other_server) {
-    attempt.server->MarkLeaving();
+    server->MarkLeaving();
   }
-  if (attempt.server->NeedsCheck()) effects.doubts.push_back(attempt.server);
+  if (server->NeedsCheck()) effects.doubts.push_back(server);
   effects.freed.push_back(part.service);
   if (end == AttemptEnd::kReplied) {
-    this->policies.hedges.NoteReply(this->route, now - attempt.sent_at);
+    this->policies.hedges.NoteReply(this->route, now - *sent_at);
     if (!part.is_in && !this->is_answered) {
       this->TakePart(part, state::ValueOf(result));
     }
@@ -185,7 +224,7 @@
   return effects;
 }
 
-void RelayRun::TakePart(Part& part, const RelayReply& answer) {
+void RelayRun::TakePart(RelayPart& part, const RelayReply& answer) {
   const bool is_known =
       std::find(this->signatures.begin(), this->signatures.end(),
                 answer.signature) != this->signatures.end();
@@ -201,12 +240,8 @@
   this->signatures.push_back(answer.signature);
 }
 
-void RelayRun::TakeFailure(Part& part, AttemptEnd end,
-                           const RelayResult& result, state::TimePoint now,
-                           RelayEffects& effects) {
-  const bool was_sent =
-      end != AttemptEnd::kNotSent && end != AttemptEnd::kWithdrawn;
-  if (!was_sent) {
+void RelayRun::CountFailure(RelayPart& part, AttemptEnd end) {
+  if (end == AttemptEnd::kNotSent || end == AttemptEnd::kWithdrawn) {
     --part.arrivals;
     ++part.unsent;
     ++this->counts.unsent;
@@ -216,6 +251,12 @@
     ++this->counts.erred;
     part.may_have_run = true;
   }
+}
+
+void RelayRun::TakeFailure(RelayPart& part, AttemptEnd end,
+                           const RelayResult& result, state::TimePoint now,
+                           RelayEffects& effects) {
+  this->CountFailure(part, end);
   if (end == AttemptEnd::kErred && !state::ValueOf(result).is_other_request) {
     part.failure = state::ValueOf(result);
   }
@@ -229,11 +270,11 @@
 }
 
 void RelayRun::Hedge(state::TimePoint now, RelayEffects& effects) {
-  for (Part& part : this->parts) {
+  for (RelayPart& part : this->parts.All()) {
     if (part.is_in || part.open == 0 || now < part.hedge_at) continue;
     part.hedge_at = kNever;
     if (this->Launch(part, now, effects) || !this->MayLaunch(part)) continue;
-    if (now + kHedgeRetry < this->due) part.hedge_at = now + kHedgeRetry;
+    if (now + kHedgeRetry < this->times.due) part.hedge_at = now + kHedgeRetry;
   }
 }
 
@@ -242,6 +283,7 @@
   if (this->is_answered) return effects;
   this->Hedge(now, effects);
   this->Evaluate(now, effects);
+  if (this->route.IsGather()) this->EndIfHopeless(now, effects);
   this->SetWake(now, effects);
   return effects;
 }
@@ -250,12 +292,12 @@
                               state::TimePoint now) {
   RelayEffects effects;
   bool is_taken = false;
-  for (Part& part : this->parts) {
+  for (RelayPart& part : this->parts.All()) {
     if (this->is_answered || !part.is_waiting || part.service != service) {
       continue;
     }
-    is_taken = true;
     this->LaunchOrWait(part, now, effects);
+    is_taken = part.IsPending();
   }
   if (!is_taken) effects.freed.push_back(service);
   this->Evaluate(now, effects);
@@ -266,30 +308,16 @@
 RelayEffects RelayRun::OnNoRoom(const state::ServiceId& service,
                                 state::TimePoint now) {
   RelayEffects effects;
-  for (Part& part : this->parts) {
-    if (part.service == service) part.is_waiting = false;
+  for (RelayPart& part : this->parts.All()) {
+    if (part.service != service) continue;
+    part.is_waiting = false;
+    this->NoteCrowded(part);
   }
   this->Evaluate(now, effects);
   this->SetWake(now, effects);
   return effects;
 }
 
-std::string RelayRun::MissingText() const {
-  constexpr std::size_t kMostNamed = 4;
-  std::string text;
-  std::size_t named = 0;
-  for (const Part& part : this->parts) {
-    if (part.is_in || named == kMostNamed) continue;
-    ++named;
-    if (!text.empty()) text += ",";
-    text += part.service.Text();
-    for (const state::InstanceId& server : part.tried) {
-      text += "@" + server.Text();
-    }
-  }
-  return text;
-}
-
 RelayEffects RelayRun::OnCallerGone(state::TimePoint now) {
   RelayEffects effects;
   if (!this->is_answered) {
@@ -299,24 +327,10 @@
     answer.reason = "caller_left";
     effects.answer = answer;
   }
-  this->Withdraw(now, effects);
+  this->parts.EndAll(AttemptEnd::kWithdrawn, now, effects);
   return effects;
 }
 
-void RelayRun::Withdraw(state::TimePoint now, RelayEffects& effects) {
-  for (std::uint32_t number = 0; number < this->attempts.size(); ++number) {
-    Attempt& attempt = this->attempts[number];
-    if (!attempt.is_open) continue;
-    attempt.is_open = false;
-    Part& part = this->parts[attempt.part];
-    --part.open;
-    attempt.server->End(AttemptEnd::kWithdrawn, attempt.sent_at, now,
-                        std::nullopt);
-    effects.withdrawals.push_back(number);
-    effects.freed.push_back(part.service);
-  }
-}
-
 void RelayRun::Evaluate(state::TimePoint now, RelayEffects& effects) {
   if (this->is_answered) return;
   if (this->route.IsGather()) {
@@ -327,24 +341,36 @@
 }
 
 void RelayRun::EvaluateGather(state::TimePoint now, RelayEffects& effects) {
-  std::size_t pending = 0;
-  for (const Part& part : this->parts) {
-    if (!part.is_in && (part.open > 0 || part.is_waiting)) ++pending;
-  }
+  const std::size_t pending = this->parts.CountPending();
   const std::size_t parts_in = this->counts.parts_in;
-  const bool is_enough = parts_in >= this->needed;
-  if (is_enough && (pending == 0 || now >= this->due)) {
+  const bool is_enough = parts_in >= this->counts.needed;
+  if (is_enough && (pending == 0 || now >= this->times.due)) {
     this->AnswerMerged(effects);
-  } else if (parts_in + pending < this->needed) {
+  } else if (parts_in + pending < this->counts.needed) {
     this->Fail(state::RelayOutcome::kFailed, "floor_out_of_reach", now,
                effects);
-  } else if (now >= this->end) {
+  } else if (now >= this->times.end) {
     this->Fail(state::RelayOutcome::kTimedOut, "deadline", now, effects);
   }
 }
 
+/// Ends a gather whose floor hangs on servers that seem gone.
+void RelayRun::EndIfHopeless(state::TimePoint now, RelayEffects& effects) {
+  if (this->is_answered) return;
+  std::size_t reachable = this->counts.parts_in;
+  for (const RelayPart& part : this->parts.All()) {
+    if (!part.IsPending()) continue;
+    const bool has_other =
+        this->MayLaunch(part) &&
+        this->policies.picker.HasUsable(part.service, part.tried, now);
+    if (has_other || !this->parts.WaitsInVain(part)) ++reachable;
+  }
+  if (reachable >= this->counts.needed) return;
+  this->Fail(state::RelayOutcome::kFailed, "servers_gone", now, effects);
+}
+
 void RelayRun::EvaluateRelay(state::TimePoint now, RelayEffects& effects) {
-  const Part& part = this->parts.front();
+  const RelayPart& part = this->parts.All().front();
   if (part.is_in) {
     this->AnswerReply(std::move(*this->reply), effects);
   } else if (part.open == 0 && !part.is_waiting) {
@@ -352,9 +378,12 @@
         !part.failure->is_encoded) {
       this->AnswerReply(*part.failure, effects);
     } else {
-      this->Fail(state::RelayOutcome::kFailed, "servers_failed", now, effects);
+      const bool is_crowded = this->crowded_wait.wait.count() > 0;
+      this->Fail(state::RelayOutcome::kFailed,
+                 is_crowded ? "no_room_in_time" : "servers_failed", now,
+                 effects);
     }
-  } else if (now >= this->end) {
+  } else if (now >= this->times.end) {
     this->Fail(state::RelayOutcome::kTimedOut, "deadline", now, effects);
   }
 }
@@ -362,7 +391,7 @@
 void RelayRun::AnswerMerged(RelayEffects& effects) {
   this->is_answered = true;
   RelayAnswer answer;
-  answer.missing = this->parts.size() - this->counts.parts_in;
+  answer.missing = this->counts.parts - this->counts.parts_in;
   answer.outcome = answer.missing == 0 ? state::RelayOutcome::kWhole
                                        : state::RelayOutcome::kPartial;
   answer.signatures = std::move(this->signatures);
@@ -381,29 +410,30 @@
 void RelayRun::Fail(state::RelayOutcome if_run, const char* reason,
                     state::TimePoint now, RelayEffects& effects) {
   this->is_answered = true;
-  const bool may_have_run =
-      std::any_of(this->parts.begin(), this->parts.end(), [](const Part& part) {
-        return part.is_in || part.may_have_run || part.open > 0;
-      });
+  const bool may_have_run = this->parts.MayHaveRun();
   RelayAnswer answer;
   answer.outcome = may_have_run ? if_run : state::RelayOutcome::kNotRun;
   answer.reason = reason;
-  if (!may_have_run) answer.retry_after = this->DrawRetryAfter();
+  if (!may_have_run) {
+    answer.retry_after = this->policies.returns.ReturnAfter(
+        this->crowded_service, this->crowded_wait, now);
+  }
   effects.answer = std::move(answer);
   // What servers still do for it is of no use to anyone.
-  if (this->route.is_repeatable) this->Withdraw(now, effects);
-}
-
-state::Duration RelayRun::DrawRetryAfter() {
-  return state::Milliseconds(
-      kLeastRetryMs + static_cast<std::int64_t>(this->policies.random.Below(
-                          static_cast<std::uint64_t>(kRetrySpreadMs))));
+  if (!this->route.is_repeatable) return;
+  this->parts.EndAll(
+      now >= this->times.end ? AttemptEnd::kSilent : AttemptEnd::kWithdrawn,
+      now, effects);
 }
 
 void RelayRun::SetWake(state::TimePoint now, RelayEffects& effects) {
   if (this->is_answered) return;
-  state::TimePoint next = now < this->due ? this->due : this->end;
-  for (const Part& part : this->parts) {
+  state::TimePoint next = this->times.due;
+  if (now >= this->times.due) {
+    next = this->times.end;
+    if (this->route.IsGather()) next = std::min(next, now + kHopeInterval);
+  }
+  for (const RelayPart& part : this->parts.All()) {
     if (!part.is_in) next = std::min(next, part.hedge_at);
   }
   if (this->wake_at > now && this->wake_at <= next) return;  // wakes anyway
@@ -412,9 +442,7 @@
 }
 
 bool RelayRun::IsSettled() const {
-  return this->is_answered &&
-         std::none_of(this->attempts.begin(), this->attempts.end(),
-                      [](const Attempt& attempt) { return attempt.is_open; });
+  return this->is_answered && !this->parts.HasOpen();
 }
 
 }  // namespace banyanknot::coordination
--- a/src/coordination/routing/server_checker.cc
+++ b/src/coordination/routing/server_checker.cc
@@ -17,10 +17,13 @@
 
 void ServerChecker::Check(const TrackedServerPtr& server) {
   if (!this->under_check.Insert(server.get(), true)) return;
-  this->log.Write(EventCode::kServerDoubted,
-                  {{"server", server->Record().id.Text()},
-                   {"service", server->Record().service.Text()},
-                   {"doubt", std::string(server->DoubtName())}});
+  this->log.Write(
+      EventCode::kServerDoubted,
+      {{"server", server->Record().id.Text()},
+       {"service", server->Record().service.Text()},
+       {"doubt", std::string(server->DoubtName())},
+       {"last_reply_ms_ago", std::to_string(state::ToMilliseconds(
+                                 server->QuietFor(this->clock.Now())))}});
   this->AskLater(server);
 }
 
--- a/src/coordination/routing/server_directory.cc
+++ b/src/coordination/routing/server_directory.cc
@@ -179,6 +179,28 @@
       });
 }
 
+bool ServerDirectory::HasRoom(const state::ServiceId& service,
+                              const std::vector<state::InstanceId>& tried,
+                              state::TimePoint now) const {
+  const Pool pool = this->PoolOf(service);
+  return std::any_of(
+      pool->begin(), pool->end(), [&](const TrackedServerPtr& server) {
+        return server->Cost(now) && !Contains(tried, server->Record().id);
+      });
+}
+
+state::Duration ServerDirectory::UsualReply(const state::ServiceId& service,
+                                            state::TimePoint now) const {
+  const Pool pool = this->PoolOf(service);
+  std::optional<state::Duration> least;
+  for (const TrackedServerPtr& server : *pool) {
+    if (!server->IsUsable(now)) continue;
+    const state::Duration usual = server->UsualReply(now);
+    if (!least || usual < *least) least = usual;
+  }
+  return least.value_or(state::Duration(0));
+}
+
 ReachCount ServerDirectory::CountReach(state::TimePoint since) const {
   ReachCount count;
   for (const TrackedServerPtr& server : this->All()) {
--- a/src/coordination/routing/tracked_server.cc
+++ b/src/coordination/routing/tracked_server.cc
@@ -31,10 +31,17 @@
 constexpr state::Duration kConnectionLifetime = state::Milliseconds(8'000);
 /// What a new connection costs in time: its handshake and a way there and back.
 constexpr state::Duration kNewConnectionCost = state::Milliseconds(8);
+/// Checks start a way there and back after the doubt, and slow down to about
+/// one a second, since a server that is gone costs a connection each time.
 constexpr state::Duration kFirstCheckDelay = state::Milliseconds(20);
 constexpr state::Duration kLongestCheckDelay = state::Milliseconds(800);
 constexpr unsigned kMostDoublings = 6;
 
+state::Duration FromMilliseconds(double milliseconds) {
+  return std::chrono::duration_cast<state::Duration>(
+      std::chrono::duration<double, std::milli>(milliseconds));
+}
+
 }  // namespace
 
 TrackedServer::TrackedServer(state::RegisteredServer record,
@@ -103,6 +110,11 @@
   return this->replied_at >= since;
 }
 
+state::Duration TrackedServer::QuietFor(state::TimePoint now) const {
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  return now - this->replied_at;
+}
+
 bool TrackedServer::IsUnreached() const {
   const std::lock_guard<std::mutex> lock(this->mutex);
   return this->doubt.has_value() && this->failures_in_row > 0;
@@ -124,13 +136,29 @@
   return std::min(kFirstCheckDelay * (1u << doublings), kLongestCheckDelay);
 }
 
+bool TrackedServer::IsSilenceLocked(state::Duration unanswered) const {
+  return unanswered >
+         std::max(FromMilliseconds(this->reply_ms * kSilenceFactor),
+                  kLeastSilence);
+}
+
 state::Duration TrackedServer::SilenceLocked(state::TimePoint now) const {
   if (this->sent.empty()) return state::Duration(0);
   const state::Duration oldest = now - this->sent.front();
-  const state::Duration usual = std::chrono::duration_cast<state::Duration>(
-      std::chrono::duration<double, std::milli>(this->reply_ms *
-                                                kSilenceFactor));
-  return oldest > std::max(usual, kLeastSilence) ? oldest : state::Duration(0);
+  return this->IsSilenceLocked(oldest) ? oldest : state::Duration(0);
+}
+
+double TrackedServer::UsualMsLocked(state::TimePoint now) const {
+  const double quiet_ms = state::ToFractionalMilliseconds(
+      now - std::max(this->replied_at, this->last_sent_at));
+  return std::max(
+      kFirstReplyMs,
+      this->reply_ms * std::exp2(-std::max(0.0, quiet_ms) / kSpeedHalfLifeMs));
+}
+
+state::Duration TrackedServer::UsualReply(state::TimePoint now) const {
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  return FromMilliseconds(this->UsualMsLocked(now));
 }
 
 std::optional<state::Duration> TrackedServer::Cost(state::TimePoint now) const {
@@ -148,16 +176,10 @@
   const double slots =
       static_cast<double>(std::max<std::size_t>(1, this->record.slots));
   const double busy = queued / slots;
-  const double quiet_ms = state::ToFractionalMilliseconds(
-      now - std::max(this->replied_at, this->last_sent_at));
-  const double usual_ms = std::max(
-      kFirstReplyMs,
-      this->reply_ms * std::exp2(-std::max(0.0, quiet_ms) / kSpeedHalfLifeMs));
-  const double cost_ms =
-      usual_ms * (1 + busy) * (1 + kFailureFactor * this->failure_share);
+  const double cost_ms = this->UsualMsLocked(now) * (1 + busy) *
+                         (1 + kFailureFactor * this->failure_share);
   const bool is_connected = now - this->replied_at < kConnectionLifetime;
-  return std::chrono::duration_cast<state::Duration>(
-             std::chrono::duration<double, std::milli>(cost_ms)) +
+  return FromMilliseconds(cost_ms) +
          (is_connected ? state::Duration(0) : kNewConnectionCost) +
          this->SilenceLocked(now);
 }
@@ -204,10 +226,7 @@
       break;
     case AttemptEnd::kErred:
     case AttemptEnd::kRefused:
-      this->CountReplyLocked(
-          std::chrono::duration_cast<state::Duration>(
-              std::chrono::duration<double, std::milli>(this->reply_ms)),
-          true);
+      this->CountReplyLocked(FromMilliseconds(this->reply_ms), true);
       break;
     case AttemptEnd::kBroken:
       this->doubt = ServerDoubt::kBroken;
@@ -223,6 +242,8 @@
         this->CountReplyLocked(now - sent_at, true);
         break;
       }
+      // One that was asked only just before the time was up is not.
+      if (!this->IsSilenceLocked(now - sent_at)) break;
       this->doubt = ServerDoubt::kSilent;
       ++this->failures_in_row;
       break;
--- a/src/coordination/routing/wait_line.cc
+++ b/src/coordination/routing/wait_line.cc
@@ -5,6 +5,9 @@
 namespace banyanknot::coordination {
 namespace {
 
+/// Weight of the newest turn in the moving average: about the last eight count.
+constexpr int kTurnsThatCount = 8;
+
 bool IsLessUrgent(const Waiter& left, const Waiter& right) {
   if (left.priority != right.priority) return left.priority > right.priority;
   return left.due > right.due;
@@ -12,10 +15,12 @@
 
 }  // namespace
 
-bool WaitLine::Join(const state::ServiceId& service, const Waiter& waiter) {
-  return this->lines.Update(service, [&](std::vector<Waiter>& line) {
-    if (line.size() >= this->most) return false;
-    line.push_back(waiter);
+bool WaitLine::Join(const state::ServiceId& service, const Waiter& waiter,
+                    state::TimePoint now) {
+  return this->lines.Update(service, [&](Line& line) {
+    if (line.waiters.size() >= this->most) return false;
+    if (line.waiters.empty()) line.last_turn = now;
+    line.waiters.push_back(waiter);
     return true;
   });
 }
@@ -23,17 +28,42 @@
 std::optional<Waiter> WaitLine::Next(const state::ServiceId& service,
                                      state::TimePoint now) {
   std::optional<Waiter> next;
-  this->lines.UpdateIfPresent(service, [&](std::vector<Waiter>& line) {
-    line.erase(std::remove_if(
-                   line.begin(), line.end(),
-                   [now](const Waiter& waiter) { return waiter.due <= now; }),
-               line.end());
-    const auto first = std::max_element(line.begin(), line.end(), IsLessUrgent);
-    if (first == line.end()) return;
+  this->lines.UpdateIfPresent(service, [&](Line& line) {
+    std::vector<Waiter>& waiters = line.waiters;
+    waiters.erase(std::remove_if(waiters.begin(), waiters.end(),
+                                 [now](const Waiter& waiter) {
+                                   return waiter.due <= now;
+                                 }),
+                  waiters.end());
+    const auto first =
+        std::max_element(waiters.begin(), waiters.end(), IsLessUrgent);
+    if (first == waiters.end()) return;
+    const state::Duration interval = now - line.last_turn;
+    line.interval =
+        line.interval.count() == 0
+            ? interval
+            : line.interval + (interval - line.interval) / kTurnsThatCount;
+    line.last_turn = now;
     next = *first;
-    line.erase(first);
+    waiters.erase(first);
   });
   return next;
 }
 
+ExpectedWait WaitLine::Forecast(const state::ServiceId& service,
+                                const Waiter& waiter) const {
+  ExpectedWait expected;
+  this->lines.ReadIfPresent(service, [&](const Line& line) {
+    if (line.waiters.empty()) return;
+    const std::int64_t ahead =
+        std::count_if(line.waiters.begin(), line.waiters.end(),
+                      [&waiter](const Waiter& other) {
+                        return !IsLessUrgent(other, waiter);
+                      });
+    expected.interval = line.interval;
+    expected.wait = line.interval * (ahead + 1);
+  });
+  return expected;
+}
+
 }  // namespace banyanknot::coordination
--- a/test/coordination/routing/extra_request_test.cc
+++ b/test/coordination/routing/extra_request_test.cc
@@ -137,10 +137,10 @@
 TEST_CASE("Waiters go by priority, then by what is due first") {
   WaitLine line(3);
   const state::TimePoint now{Milliseconds(1'000)};
-  CHECK(line.Join(kService, {1, 2, now + Milliseconds(50)}));
-  CHECK(line.Join(kService, {2, 1, now + Milliseconds(90)}));
-  CHECK(line.Join(kService, {3, 2, now + Milliseconds(20)}));
-  CHECK_FALSE(line.Join(kService, {4, 0, now + Milliseconds(20)}));
+  CHECK(line.Join(kService, {1, 2, now + Milliseconds(50)}, now));
+  CHECK(line.Join(kService, {2, 1, now + Milliseconds(90)}, now));
+  CHECK(line.Join(kService, {3, 2, now + Milliseconds(20)}, now));
+  CHECK_FALSE(line.Join(kService, {4, 0, now + Milliseconds(20)}, now));
   CHECK(line.Next(kService, now)->run == 2);
   CHECK(line.Next(kService, now)->run == 3);
   CHECK_FALSE(line.Next(kService, now + Milliseconds(60)));
--- a/test/coordination/routing/relay_world.h
+++ b/test/coordination/routing/relay_world.h
@@ -4,6 +4,7 @@
 #include <catch2/catch.hpp>
 #include <map>
 #include <memory>
+#include <random>
 #include <string>
 #include <utility>
 #include <vector>
@@ -31,6 +32,18 @@
   std::vector<EventCode> codes;
 };
 
+/// \brief The same numbers in every run, whichever thread asks.
+class FixedRandomSource : public RandomSource {
+ public:
+  explicit FixedRandomSource(std::uint64_t seed) : engine(seed) {}
+  std::uint64_t Below(std::uint64_t bound) override {
+    return this->engine() % bound;
+  }
+
+ private:
+  std::mt19937_64 engine;
+};
+
 /// \brief What a scripted server does with one request.
 struct Reaction {
   state::Duration after = Milliseconds(10);
@@ -140,12 +153,24 @@
 /// \brief One host's routing over scripted servers, in virtual time.
 class RelayWorld {
  public:
-  explicit RelayWorld(HedgeClock* hedges = nullptr)
+  /// \brief Decisions to be put in place of the usual ones.
+  struct Others {
+    HedgeClock* hedges = nullptr;
+    WaitForecast* waits = nullptr;
+    ReturnPlanner* returns = nullptr;
+  };
+
+  RelayWorld() : RelayWorld(Others()) {}
+  explicit RelayWorld(HedgeClock* hedges)
+      : RelayWorld(Others{hedges, nullptr, nullptr}) {}
+  explicit RelayWorld(const Others& others)
       : executor(
             this->time, this->time, this->client, this->routes,
             {this->servers, this->budget,
-             hedges == nullptr ? this->quantile_hedges : *hedges, this->random},
-            this->checker, this->journal) {}
+             others.hedges == nullptr ? this->quantile_hedges : *others.hedges,
+             others.waits == nullptr ? this->line : *others.waits,
+             others.returns == nullptr ? this->paced_returns : *others.returns},
+            this->line, this->checker, this->journal) {}
 
   static state::Route RelayRoute(bool is_repeatable,
                                  std::size_t max_attempts = 2) {
@@ -256,7 +281,7 @@
   std::size_t max_connections = 96;
   fleet_testing::VirtualTime time;
   CodeLog log;
-  SeededRandomSource random{7};
+  FixedRandomSource random{7};
   RouteDirectory routes;
   ServerDirectory servers{this->time, state::FailureDomainId("a")};
   ScriptedRelayClient client{this->time};
@@ -264,6 +289,8 @@
                         this->log};
   ExtraRequestBudget budget{ExtraRequestLimits()};
   QuantileHedgeClock quantile_hedges{0.92};
+  WaitLine line;
+  PacedReturns paced_returns{this->random};
   RelayJournal journal{this->log};
   RoutingIntake intake{this->time,    this->time,    this->client, this->routes,
                        this->servers, this->checker, this->log};
