Tell a request's story and the fleet's beliefs from logs

banyanknotctl trace ID FILE... prints a request's lines among those that explain it: the routes in force on its host, lost and regained dependencies, and what befell the servers it missed; then what its reason means. banyanknotctl timeline FILE... prints what hosts came to believe, hosts that say the same as one line with its spread, and marks hosts that did not follow. Both read mixed, prefixed and cut off files, filter by time, and print JSON.

Tested on recorded logs. A doubt's line says when the server last replied.

--- a/ctl/banyanknotctl_main.cc
+++ b/ctl/banyanknotctl_main.cc
@@ -8,13 +8,18 @@
 #include "command_line.h"
 #include "http_host_client.h"
 
+DEFINE_bool(json, false, "print logs as JSON");
+DEFINE_string(from, "", "take log lines of this time and later, in UTC");
+DEFINE_string(until, "", "take log lines before this time, in UTC");
+
 int main(int argc, char** argv) {
   const banyanknot::protocol::CatalogueCodec codec;
   banyanknot::ctl::HttpHostClient client;
-  banyanknot::ctl::CommandLine commands(codec, client);
-  gflags::SetUsageMessage(commands.Help());
   gflags::SetVersionString(BANYANKNOT_VERSION);
+  gflags::SetUsageMessage("banyanknotctl COMMAND ARGUMENTS");
   gflags::ParseCommandLineFlags(&argc, &argv, true);
+  banyanknot::ctl::CommandLine commands(codec, client,
+                                        {FLAGS_json, FLAGS_from, FLAGS_until});
   const std::vector<std::string> words(argv + 1, argv + argc);
   return static_cast<int>(commands.Run(words, std::cout, std::cerr));
 }
--- a/ctl/command_line.cc
+++ b/ctl/command_line.cc
@@ -6,17 +6,21 @@
 #include "explain_command.h"
 #include "query_command.h"
 #include "status_command.h"
+#include "timeline_command.h"
+#include "trace_command.h"
 
 namespace banyanknot::ctl {
 
 CommandLine::CommandLine(const coordination::EntryDecoder& decoder,
-                         HostClient& client) {
+                         HostClient& client, const LogOptions& log_options) {
   this->commands.push_back(std::make_unique<CheckCommand>(decoder));
   this->commands.push_back(std::make_unique<DiffCommand>());
   this->commands.push_back(std::make_unique<QueryCommand>(client));
   this->commands.push_back(std::make_unique<StatusCommand>(client));
   this->commands.push_back(std::make_unique<AuditCommand>(client));
   this->commands.push_back(std::make_unique<ExplainCommand>(client));
+  this->commands.push_back(std::make_unique<TraceCommand>(log_options));
+  this->commands.push_back(std::make_unique<TimelineCommand>(log_options));
 }
 
 std::string CommandLine::Help() const {
@@ -24,7 +28,9 @@
   for (const std::unique_ptr<Command>& command : this->commands) {
     help += "  " + std::string(command->Usage()) + "\n";
   }
-  help += "HOSTS is ADDRESS:PORT[,ADDRESS:PORT...]. Exit status:";
+  help +=
+      "HOSTS is ADDRESS:PORT[,ADDRESS:PORT...]. trace and timeline take\n"
+      "--json, --from=TIME and --until=TIME. Exit status:";
   for (const state::EnumName<ExitStatus>& row : kExitStatusNames) {
     help += " " + std::to_string(static_cast<int>(row.value)) + " " +
             std::string(row.name);
--- a/ctl/command_line.h
+++ b/ctl/command_line.h
@@ -8,13 +8,16 @@
 #include "banyanknot/coordination/entry_decoder.h"
 #include "command.h"
 #include "host_client.h"
+#include "log_files.h"
 
 namespace banyanknot::ctl {
 
 /// \brief Finds and runs the command that the command line names.
 class CommandLine {
  public:
-  CommandLine(const coordination::EntryDecoder& decoder, HostClient& client);
+  /// \param log_options for the commands that read logs
+  CommandLine(const coordination::EntryDecoder& decoder, HostClient& client,
+              const LogOptions& log_options);
 
   /// \param words the command line without the program's name and flags
   ExitStatus Run(const std::vector<std::string>& words, std::ostream& out,
--- a/include/banyanknot/coordination/routing/tracked_server.h
+++ b/include/banyanknot/coordination/routing/tracked_server.h
@@ -51,9 +51,8 @@
   bool IsUsable(state::TimePoint now) const;
   bool NeedsCheck() const;
   bool HasReplied(state::TimePoint since) const;
-  /// \brief Time since its last reply; since this host's clock began if there
-  /// was none.
-  state::Duration QuietFor(state::TimePoint now) const;
+  /// \brief Time since its last reply; nothing if it has not replied yet.
+  std::optional<state::Duration> QuietFor(state::TimePoint now) const;
   /// \brief Tells whether the last tries to reach it failed.
   bool IsUnreached() const;
   /// \brief Name of the doubt; empty if there is none.
--- a/src/coordination/routing/server_checker.cc
+++ b/src/coordination/routing/server_checker.cc
@@ -8,6 +8,10 @@
 /// A check waits for a slot like any request: a slow server's queue included.
 constexpr state::Duration kHealthTimeout = state::Milliseconds(800);
 
+std::string AgeText(const std::optional<state::Duration>& age) {
+  return age ? std::to_string(state::ToMilliseconds(*age)) : "never";
+}
+
 }  // namespace
 
 ServerChecker::ServerChecker(const Clock& clock, TimerService& timers,
@@ -22,8 +26,7 @@
       {{"server", server->Record().id.Text()},
        {"service", server->Record().service.Text()},
        {"doubt", std::string(server->DoubtName())},
-       {"last_reply_ms_ago", std::to_string(state::ToMilliseconds(
-                                 server->QuietFor(this->clock.Now())))}});
+       {"last_reply_ms_ago", AgeText(server->QuietFor(this->clock.Now()))}});
   this->AskLater(server);
 }
 
--- a/src/coordination/routing/tracked_server.cc
+++ b/src/coordination/routing/tracked_server.cc
@@ -110,8 +110,10 @@
   return this->replied_at >= since;
 }
 
-state::Duration TrackedServer::QuietFor(state::TimePoint now) const {
+std::optional<state::Duration> TrackedServer::QuietFor(
+    state::TimePoint now) const {
   const std::lock_guard<std::mutex> lock(this->mutex);
+  if (this->replied_at == state::TimePoint()) return std::nullopt;
   return now - this->replied_at;
 }
 
--- a/test/ctl/command_line_test.cc
+++ b/test/ctl/command_line_test.cc
@@ -1,64 +1,12 @@
 #include "command_line.h"
 
-#include <unistd.h>
-
 #include <catch2/catch.hpp>
-#include <cstdio>
-#include <fstream>
-#include <sstream>
 
-#include "banyanknot/protocol/catalogue_codec.h"
+#include "ctl/command_fixture.h"
 
 namespace banyanknot::ctl {
 namespace {
 
-/// Answers every request with a canned response.
-class CannedHostClient : public HostClient {
- public:
-  FetchResult Fetch(const state::Endpoint& host,
-                    const protocol::HttpRequest& request,
-                    state::Duration /*timeout*/) override {
-    this->hosts.push_back(host);
-    this->requests.push_back(request);
-    return this->result;
-  }
-
-  FetchResult result = protocol::HttpResponse{200, "{}"};
-  std::vector<state::Endpoint> hosts;
-  std::vector<protocol::HttpRequest> requests;
-};
-
-/// A file that is removed at the end of its test.
-class TemporaryFile {
- public:
-  explicit TemporaryFile(const std::string& text) {
-    char pattern[] = "/tmp/banyanknotctl-XXXXXX";
-    const int descriptor = mkstemp(pattern);
-    REQUIRE(descriptor >= 0);
-    close(descriptor);
-    this->path = pattern;
-    std::ofstream(this->path) << text;
-  }
-  ~TemporaryFile() { std::remove(this->path.c_str()); }
-
-  std::string path;
-};
-
-struct RunResult {
-  ExitStatus status;
-  std::string out;
-  std::string err;
-};
-
-RunResult RunWords(HostClient& client, const std::vector<std::string>& words) {
-  const protocol::CatalogueCodec codec;
-  CommandLine commands(codec, client);
-  std::ostringstream out;
-  std::ostringstream err;
-  const ExitStatus status = commands.Run(words, out, err);
-  return {status, out.str(), err.str()};
-}
-
 constexpr const char* kGoodCatalogue =
     R"({"fleet":{"owner":"ops"},"domain/a":{"id":"a","owner":"ops",)"
     R"("state":"in"}})";
--- /dev/null
+++ b/test/ctl/log_commands_test.cc
@@ -0,0 +1,132 @@
+#include <catch2/catch.hpp>
+#include <string>
+
+#include "ctl/command_fixture.h"
+
+namespace banyanknot::ctl {
+namespace {
+
+// Recorded on a day with a troubled store and a failure domain cut off, and
+// shortened.
+const char* const kNorth =
+    R"({"time":"2026-09-07T14:10:00.000Z","name":"host_starting","host":"north-1","domain":"north"}
+{"time":"2026-09-07T14:10:01.000Z","name":"routes_in_force","version":"3"}
+{"time":"2026-09-07T14:10:09.000Z","name":"routes_in_force","version":"4"}
+{"time":"2026-09-07T14:10:20.000Z","name":"server_doubted","server":"i-1","service":"noda","doubt":"silent","last_reply_ms_ago":"812"}
+{"time":"2026-09-07T14:10:20.100Z","name":"server_doubted","server":"i-9","service":"other","doubt":"broken"}
+{"time":"2026-09-07T14:10:21.000Z","name":"request_not_whole","request":"e640","outcome":"not_run","reason":"no_usable_server","version":"4","missing":"noda,yefi@i-2"}
+{"time":"2026-09-07T14:10:22.000Z","name":"reach_lost","replied":"2","unreached":"25"}
+{"time":"2026-09-07T14:10:30.000Z","name":"host_stopping"}
+)";
+const char* const kSouth =
+    R"({"time":"2026-09-07T14:10:00.020Z","name":"host_starting","host":"south-1","domain":"south"}
+{"time":"2026-09-07T14:10:01.400Z","name":"routes_in_force","version":"3"}
+{"time":"2026-09-07T14:10:05.000Z","name":"source_lost","failure":"silent"}
+{"time":"2026-09-07T14:10:30.500Z","name":"request_answered","request":"aa11","outcome":"whole","version":"3"}
+)";
+
+RunResult RunLogs(const std::vector<std::string>& words,
+                  const LogOptions& options = {}) {
+  CannedHostClient client;
+  return RunWords(client, words, options);
+}
+
+bool Has(const std::string& text, const std::string& part) {
+  return text.find(part) != std::string::npos;
+}
+
+TEST_CASE("trace tells what was decided, on what, and what it means") {
+  const TemporaryFile north(kNorth);
+  const TemporaryFile south(kSouth);
+  const RunResult result = RunLogs({"trace", "e640", south.path, north.path});
+  INFO(result.out);
+  CHECK(result.status == ExitStatus::kOk);
+  CHECK(
+      Has(result.out, "> 2026-09-07T14:10:21.000Z north-1 request_not_whole"));
+  CHECK(Has(result.out, "server_doubted server=i-1 service=noda doubt=silent"));
+  CHECK(Has(result.out, "routes_in_force version=4"));
+  CHECK_FALSE(Has(result.out, "version=3"));   // not in force any more
+  CHECK_FALSE(Has(result.out, "i-9"));         // of no shard of it
+  CHECK_FALSE(Has(result.out, "reach_lost"));  // came later
+  CHECK_FALSE(Has(result.out, "south-1"));
+  CHECK(Has(result.out, "= no_usable_server: nothing was sent"));
+  CHECK(result.out.find("server_doubted") <
+        result.out.find("request_not_whole"));
+}
+
+TEST_CASE("trace says why a request may stand in no log") {
+  const TemporaryFile north(kNorth);
+  const RunResult result = RunLogs({"trace", "ffff", north.path});
+  CHECK(result.status == ExitStatus::kFault);
+  CHECK(Has(result.err, "no line names request ffff"));
+}
+
+TEST_CASE("Cut off and foreign lines are counted, and the rest is read") {
+  const TemporaryFile file(
+      "kernel: something else\n" +
+      std::string(kNorth).substr(0, std::string(kNorth).size() - 30) +
+      "\n{\"time\":\"yesterday\",\"name\":\"host_ready\"}\n");
+  const RunResult result = RunLogs({"trace", "e640", file.path});
+  CHECK(result.status == ExitStatus::kOk);
+  CHECK(Has(result.err, file.path + ": 3 lines can't be read"));
+}
+
+TEST_CASE("Hosts mixed in one file are told apart by what a collector adds") {
+  const TemporaryFile file(
+      "12.5 north-1 {\"time\":\"2026-09-07T14:10:01.000Z\",\"name\":"
+      "\"routes_in_force\",\"version\":\"3\"}\n"
+      "12.6 south-1 {\"time\":\"2026-09-07T14:10:01.100Z\",\"name\":"
+      "\"routes_in_force\",\"version\":\"3\"}\n");
+  const RunResult result = RunLogs({"timeline", file.path});
+  CHECK(
+      Has(result.out, "routes_in_force 3 on north-1,south-1 within 100 ms\n"));
+}
+
+TEST_CASE("timeline marks the hosts that did not come to believe the same") {
+  const TemporaryFile north(kNorth);
+  const TemporaryFile south(kSouth);
+  const RunResult result = RunLogs({"timeline", north.path, south.path});
+  INFO(result.out);
+  CHECK(result.status == ExitStatus::kOk);
+  CHECK(Has(result.out,
+            "  2026-09-07T14:10:01.000Z routes_in_force 3 on "
+            "north-1,south-1 within 400 ms"));
+  CHECK(Has(result.out,
+            "! 2026-09-07T14:10:09.000Z routes_in_force 4 on "
+            "north-1, not on south-1"));
+  CHECK(Has(result.out, "source_lost silent on south-1"));
+  CHECK(Has(result.out, "reach_lost on north-1"));
+}
+
+TEST_CASE("Logs are filtered by time and printed as JSON") {
+  const TemporaryFile north(kNorth);
+  const LogOptions options{true, "2026-09-07T14:10:09", "2026-09-07T14:10:20"};
+  const RunResult result = RunLogs({"timeline", north.path}, options);
+  const nlohmann::json row = nlohmann::json::parse(result.out);
+  CHECK(row["event"] == "routes_in_force");
+  CHECK(row["subject"] == "4");
+  CHECK(row["scope"] == "fleet");
+  CHECK(row["hosts"] == nlohmann::json::array({"north-1"}));
+
+  const RunResult story =
+      RunLogs({"trace", "e640", north.path}, {true, "", ""});
+  const nlohmann::json told = nlohmann::json::parse(story.out);
+  CHECK(told["readings"].size() == 1);
+  CHECK(told["lines"].back()["request"] == "e640");
+  CHECK(told["lines"].back()["log_host"] == "north-1");
+}
+
+TEST_CASE("A log that can't be opened ends a command") {
+  CHECK(RunLogs({"trace", "e640", "/nowhere"}).status == ExitStatus::kUsage);
+  CHECK(RunLogs({"timeline"}).status == ExitStatus::kUsage);
+}
+
+TEST_CASE("Times of the log are read to the millisecond") {
+  CHECK(ParseTime("1970-01-02T00:00:01.250Z") == 86'401'250);
+  CHECK_FALSE(ParseTime("1970-01-02 00:00:01"));
+  CHECK_FALSE(ParseTime("nonsenseZ"));
+  CHECK_FALSE(ParseTime(""));
+}
+
+}  // namespace
+}  // namespace banyanknot::ctl
