--- a/test/ctl/log_commands_test.cc
+++ b/test/ctl/log_commands_test.cc
@@ -98,6 +98,20 @@
   CHECK(Has(result.out, "reach_lost on north-1"));
 }
 
+TEST_CASE("timeline tells many changes of one step in one line") {
+  std::string text;
+  for (const char* server : {"i-1", "i-2", "i-3"}) {
+    text +=
+        "{\"time\":\"2026-09-07T14:10:01.000Z\",\"name\":"
+        "\"server_removed\",\"server\":\"" +
+        std::string(server) + "\",\"service\":\"noda\"}\n";
+  }
+  const TemporaryFile file(text);
+  const RunResult result = RunLogs({"timeline", file.path});
+  CHECK(Has(result.out, "server_removed i-1 noda and 2 more on"));
+  CHECK_FALSE(Has(result.out, "i-2"));
+}
+
 TEST_CASE("Logs are filtered by time and printed as JSON") {
   const TemporaryFile north(kNorth);
   const LogOptions options{true, "2026-09-07T14:10:09", "2026-09-07T14:10:20"};
