Refuse requests whose end is in doubt; test the edge program as a process

Cause: a request with a field in two lines was passed on with the lines joined, and one with an unknown Transfer-Encoding was taken for one without a body, so that what followed ran as a request of its own.

Change: the header is looked at before it is parsed, and only a length or plain chunks are taken for the end of a body; all else gets 400 and loses its connection. The connection class has a file of its own.

The new tests run the real program between a store and servers that speak the platform's protocol: relay and gather, 11 tries at smuggling, limits, requests behind one another, trickled bodies, at most once over lost replies, failures and refusals, callers who leave, SIGTERM with work under way, SIGHUP with good and bad settings, entries that can't be read, a store that refuses, is silent, forgets or loses answers, and a start without it.

--- /dev/null
+++ b/src/transport/request_head.cc
@@ -0,0 +1,32 @@
+#include "transport/request_head.h"
+
+#include <boost/beast/core/string.hpp>
+
+namespace banyanknot::transport::internal {
+
+namespace beast = boost::beast;
+namespace http = beast::http;
+
+HeadState ExamineHead(std::string_view bytes, std::size_t max_header_bytes) {
+  constexpr std::string_view kEnd = "\r\n\r\n";
+  const std::size_t end = bytes.find(kEnd);
+  const std::string_view head = bytes.substr(0, end);
+  for (std::size_t line = head.find('\n'); line != std::string_view::npos;
+       line = head.find('\n', line + 1)) {
+    const char next = line + 1 < head.size() ? head[line + 1] : '\0';
+    if (next == ' ' || next == '\t') return HeadState::kFolded;
+  }
+  const bool is_over = end != std::string_view::npos ||
+                       bytes.size() > max_header_bytes + kEnd.size();
+  return is_over ? HeadState::kComplete : HeadState::kIncomplete;
+}
+
+bool HasClearEnd(const http::fields& header) {
+  const auto encodings = header.equal_range(http::field::transfer_encoding);
+  if (encodings.first == encodings.second) return true;
+  return std::next(encodings.first) == encodings.second &&
+         beast::iequals(encodings.first->value(), "chunked") &&
+         header.count(http::field::content_length) == 0;
+}
+
+}  // namespace banyanknot::transport::internal
--- /dev/null
+++ b/src/transport/server_connection.cc
@@ -0,0 +1,272 @@
+#include "transport/server_connection.h"
+
+#include <atomic>
+#include <boost/asio/post.hpp>
+#include <string_view>
+
+#include "transport/http_convert.h"
+#include "transport/request_head.h"
+
+namespace banyanknot::transport::internal {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using asio::ip::tcp;
+
+namespace {
+
+constexpr const char* kMalformed =
+    R"({"outcome":"invalid","error":"malformed"})";
+
+}  // namespace
+
+class ServerConnection::Exchange : public HttpExchange {
+ public:
+  Exchange(std::shared_ptr<ServerConnection> connection,
+           protocol::HttpRequest request, bool keep_alive)
+      : connection(std::move(connection)),
+        request(std::move(request)),
+        keep_alive(keep_alive) {}
+
+  ~Exchange() override {
+    if (!this->is_answered.exchange(true)) this->connection->Abort();
+  }
+
+  const protocol::HttpRequest& Request() const override {
+    return this->request;
+  }
+
+  void Respond(protocol::HttpResponse response) override {
+    if (this->is_answered.exchange(true)) return;
+    this->TakeClosedHandler();
+    this->connection->Write(std::move(response), this->keep_alive);
+  }
+
+  void OnClosed(std::function<void()> handler) override {
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    if (!this->is_closed) {
+      this->closed_handler = std::move(handler);
+      return;
+    }
+    asio::post(this->connection->stream.get_executor(), std::move(handler));
+  }
+
+  void NotifyClosed() {
+    std::function<void()> handler = this->TakeClosedHandler();
+    if (handler) handler();
+  }
+
+ private:
+  std::function<void()> TakeClosedHandler() {
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    this->is_closed = true;
+    return std::exchange(this->closed_handler, nullptr);
+  }
+
+  const std::shared_ptr<ServerConnection> connection;
+  const protocol::HttpRequest request;
+  const bool keep_alive;
+  std::atomic<bool> is_answered{false};
+  std::mutex mutex;
+  bool is_closed = false;
+  std::function<void()> closed_handler;
+};
+
+void ServerConnection::ReadNext() {
+  this->limits = this->server->Limits();
+  this->is_busy = this->buffer.size() > 0;
+  this->parser.emplace();
+  this->parser->body_limit(this->limits.max_body_bytes);
+  this->parser->header_limit(
+      static_cast<std::uint32_t>(this->limits.max_header_bytes));
+  if (this->is_busy) {
+    this->BeginRequest();
+  } else if (this->server->is_shut_down) {
+    this->Close();
+  } else {
+    this->WaitForRequest();
+  }
+}
+
+void ServerConnection::WaitForRequest() {
+  this->stream.expires_after(this->limits.idle_timeout);
+  this->ReadSome(&ServerConnection::BeginRequest);
+}
+
+void ServerConnection::ReadSome(void (ServerConnection::*then)()) {
+  constexpr std::size_t kReadBytes = 4096;
+  this->stream.async_read_some(
+      this->buffer.prepare(kReadBytes),
+      [self = this->shared_from_this(), then](const beast::error_code& error,
+                                              std::size_t bytes) {
+        if (error) {
+          self->OnRead(error);
+          return;
+        }
+        self->buffer.commit(bytes);
+        ((*self).*then)();
+      });
+}
+
+void ServerConnection::BeginRequest() {
+  this->is_busy = true;
+  this->stream.expires_never();
+  this->read_timer.expires_after(this->limits.read_timeout);
+  this->read_timer.async_wait(
+      [self = this->shared_from_this()](const beast::error_code& error) {
+        if (error) return;
+        self->is_overdue = true;
+        beast::error_code ignored;
+        self->stream.socket().cancel(ignored);  // ends the read
+      });
+  this->ReadHead();
+}
+
+void ServerConnection::ReadHead() {
+  const std::string_view bytes(
+      static_cast<const char*>(this->buffer.data().data()),
+      this->buffer.size());
+  switch (ExamineHead(bytes, this->limits.max_header_bytes)) {
+    case HeadState::kIncomplete:
+      this->ReadSome(&ServerConnection::ReadHead);
+      break;
+    case HeadState::kFolded:
+      this->read_timer.cancel();
+      this->Refuse(400, kMalformed);
+      break;
+    case HeadState::kComplete:
+      this->ReadRequest();
+      break;
+  }
+}
+
+void ServerConnection::ReadRequest() {
+  http::async_read(this->stream, this->buffer, *this->parser,
+                   [self = this->shared_from_this()](
+                       const beast::error_code& error, std::size_t /*bytes*/) {
+                     self->OnRead(error);
+                   });
+}
+
+void ServerConnection::OnRead(const beast::error_code& error) {
+  this->read_timer.cancel();
+  if (error == http::error::header_limit) {
+    this->Refuse(431, R"({"outcome":"invalid","error":"header_too_large"})");
+    return;
+  }
+  if (error == http::error::body_limit) {
+    this->Refuse(413, R"({"outcome":"invalid","error":"too_large"})");
+    return;
+  }
+  if (error && this->is_overdue) {
+    this->Refuse(408, R"({"outcome":"invalid","error":"timeout"})");
+    return;
+  }
+  if (error &&
+      error.category() ==
+          http::make_error_code(http::error::bad_method).category() &&
+      error != http::error::end_of_stream &&
+      error != http::error::partial_message) {
+    this->Refuse(400, kMalformed);
+    return;
+  }
+  if (!error && !HasClearEnd(this->parser->get())) {
+    this->Refuse(400, kMalformed);
+    return;
+  }
+  if (error) {
+    this->Close();
+    return;
+  }
+  this->is_overdue = false;
+  const bool keep_alive = this->parser->keep_alive();
+  const std::shared_ptr<Exchange> exchange = std::make_shared<Exchange>(
+      this->shared_from_this(), FromBeast(this->parser->release()), keep_alive);
+  this->WatchForClose(exchange);
+  this->server->handler.Handle(exchange);
+}
+
+void ServerConnection::WatchForClose(
+    const std::shared_ptr<Exchange>& exchange) {
+  if (this->buffer.size() > 0) return;  // the next request came already
+  this->stream.socket().async_wait(
+      tcp::socket::wait_read, [self = this->shared_from_this(),
+                               exchange = std::weak_ptr<Exchange>(exchange)](
+                                  const beast::error_code& error) {
+        if (error || !self->stream.socket().is_open()) return;
+        beast::error_code peek_error;
+        char byte = 0;
+        const std::size_t peeked = self->stream.socket().receive(
+            asio::buffer(&byte, 1), tcp::socket::message_peek, peek_error);
+        if (!peek_error && peeked > 0) return;
+        const std::shared_ptr<Exchange> open = exchange.lock();
+        if (open == nullptr) return;
+        if (peek_error == asio::error::would_block) {
+          self->WatchForClose(open);
+        } else {
+          open->NotifyClosed();
+        }
+      });
+}
+
+void ServerConnection::WriteNow(const protocol::HttpResponse& response,
+                                bool keep_alive) {
+  beast::error_code ignored;
+  this->stream.socket().cancel(ignored);  // ends the watch for a close
+  keep_alive =
+      keep_alive && !this->server->is_shut_down && this->server->keeps_alive;
+  this->response = ToBeast(response, keep_alive);
+  this->stream.expires_after(this->limits.write_timeout);
+  http::async_write(this->stream, this->response,
+                    [self = this->shared_from_this(), keep_alive](
+                        const beast::error_code& error, std::size_t /*bytes*/) {
+                      if (!error && self->is_refused) {
+                        self->DiscardUntilClosed();
+                      } else if (error || !keep_alive) {
+                        self->Close();
+                      } else {
+                        self->ReadNext();
+                      }
+                    });
+}
+
+void ServerConnection::Refuse(unsigned status, const char* error) {
+  this->is_refused = true;
+  this->WriteNow({status, error}, false);
+}
+
+// A close with bytes unread would reset the connection, and the caller might
+// never see the response.
+void ServerConnection::DiscardUntilClosed() {
+  beast::error_code ignored;
+  this->stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
+  this->stream.expires_after(this->limits.linger);
+  this->DiscardNext();
+}
+
+void ServerConnection::DiscardNext() {
+  constexpr std::size_t kDiscardBytes = 16u << 10;
+  this->buffer.clear();
+  this->stream.async_read_some(
+      this->buffer.prepare(kDiscardBytes),
+      [self = this->shared_from_this()](const beast::error_code& error,
+                                        std::size_t /*bytes*/) {
+        if (error) {
+          self->Close();
+        } else {
+          self->DiscardNext();
+        }
+      });
+}
+
+void ServerConnection::Close() {
+  this->read_timer.cancel();
+  beast::error_code ignored;
+  this->stream.socket().shutdown(tcp::socket::shutdown_both, ignored);
+  this->stream.socket().close(ignored);
+  const std::lock_guard<std::mutex> lock(this->server->mutex);
+  this->server->connections.erase(this->shared_from_this());
+}
+
+}  // namespace banyanknot::transport::internal
--- /dev/null
+++ b/test/platform/edge/edge_process_test.cc
@@ -0,0 +1,287 @@
+#include <catch2/catch.hpp>
+#include <csignal>
+#include <fstream>
+#include <future>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "platform/edge/edge_world.h"
+#include "platform/edge/raw_caller.h"
+#include "platform/wire_names.h"
+
+// The edge program as a whole process, between a store, servers and callers
+// that speak the platform's protocol.
+namespace banyanknot::platform::edge_testing {
+namespace {
+
+using Response = RawCaller::Response;
+
+constexpr state::Duration kEventBound = state::Milliseconds(10'000);
+constexpr state::Duration kExitBound = state::Milliseconds(15'000);
+
+unsigned StatusOf(const std::optional<Response>& response) {
+  return response ? response->result_int() : 0;
+}
+
+std::size_t RunsOf(const EdgeWorld& world, const std::string& request_id) {
+  std::size_t runs = 0;
+  for (const std::unique_ptr<ServerStandIn>& server : world.Servers()) {
+    runs += server->RunsOf(request_id);
+  }
+  return runs;
+}
+
+TEST_CASE("The edge program relays and gathers") {
+  EdgeWorld world;
+  const std::unique_ptr<EdgeProcess> edge = world.StartEdge();
+  RawCaller caller(edge->Callers());
+  const std::optional<Response> relayed = caller.Ask("/desk/1", "r-1");
+  REQUIRE(StatusOf(relayed) == 200);
+  CHECK(relayed->body() == "r-1 done");
+  const std::string signature((*relayed)[wire::kSignature]);
+  CHECK((signature == "d1/r-1" || signature == "d2/r-1"));
+  const std::optional<Response> gathered =
+      caller.Ask("/all/1", "0123456789abcdef");
+  REQUIRE(StatusOf(gathered) == 200);
+  CHECK((*gathered)[wire::kMissingParts] == "0");
+  CHECK((*gathered)[wire::kRequestId] == "0123456789abcdef");
+  CHECK(StatusOf(caller.Ask("/elsewhere/", "r-2")) == 404);
+}
+
+TEST_CASE("What is no clean request reaches no server and harms no other") {
+  EdgeWorld world;
+  const std::unique_ptr<EdgeProcess> edge = world.StartEdge();
+  RawCaller other(edge->Callers());
+  const std::string head = "POST /desk/1 HTTP/1.1\r\nHost: desk.example\r\n" +
+                           std::string(wire::kRequestId) + ": bad\r\n";
+  const std::vector<std::string> rows = {
+      head + "Content-Length: 3\r\nContent-Length: 4\r\n\r\nabcd",
+      head + "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+      head +
+          "Transfer-Encoding: chunked\r\nTransfer-Encoding: identity\r\n\r\n"
+          "0\r\n\r\n",
+      head + "Transfer-Encoding: xchunked\r\n\r\n0\r\n\r\n",
+      head + "Content-Length : 3\r\n\r\nabc",
+      head + "Content-Length: +3\r\n\r\nabc",
+      head + "Content-Length: 3\n\nabc",
+      head + "Folded: a\r\n b\r\nContent-Length: 0\r\n\r\n",
+      head + "Transfer-Encoding: chunked\r\n\r\nzz\r\nabc\r\n0\r\n\r\n",
+      "GET /desk/1\r\n\r\n",
+      std::string("\x16\x03\x01\x02\x00\x01", 6),
+  };
+  for (const std::string& bytes : rows) {
+    INFO(bytes);
+    RawCaller caller(edge->Callers());
+    caller.Write(bytes + RawCaller::Request("/desk/1", "smuggled"));
+    const std::optional<Response> response = caller.Read();
+    if (response) CHECK(response->result_int() == 400);
+    CHECK(caller.IsClosedByPeer());
+    CHECK(StatusOf(other.Ask("/desk/1", "fine")) == 200);
+  }
+  CHECK(RunsOf(world, "bad") == 0);
+  CHECK(RunsOf(world, "smuggled") == 0);
+}
+
+TEST_CASE("The configuration's limits of header and body are kept") {
+  EdgeWorld world;
+  const std::unique_ptr<EdgeProcess> edge = world.StartEdge();
+  RawCaller small(edge->Callers());
+  CHECK(StatusOf(small.Ask("/desk/1", "fits", "POST",
+                           std::string(8'000, 'x'))) == 200);
+  RawCaller large(edge->Callers());
+  CHECK(StatusOf(large.Ask("/desk/1", "large", "POST",
+                           std::string(9'000, 'x'))) == 413);
+  RawCaller wide(edge->Callers());
+  CHECK(StatusOf(wide.Ask("/desk/" + std::string(5'000, 'y'), "wide")) == 431);
+  CHECK(RunsOf(world, "large") == 0);
+  CHECK(RunsOf(world, "wide") == 0);
+}
+
+TEST_CASE("Requests sent behind one another are answered in their order") {
+  EdgeWorld world;
+  const std::unique_ptr<EdgeProcess> edge = world.StartEdge();
+  RawCaller caller(edge->Callers());
+  std::string bytes;
+  for (const char* id : {"p-1", "p-2", "p-3"}) {
+    bytes += RawCaller::Request("/desk/1", id, "POST", "b");
+  }
+  caller.Write(bytes);
+  for (const std::string id : {"p-1", "p-2", "p-3"}) {
+    const std::optional<Response> response = caller.Read();
+    REQUIRE(StatusOf(response) == 200);
+    CHECK(response->body() == id + " done");
+  }
+}
+
+TEST_CASE("A body that trickles in, in odd chunks, is passed on whole") {
+  EdgeWorld world;
+  const std::unique_ptr<EdgeProcess> edge = world.StartEdge();
+  RawCaller caller(edge->Callers());
+  const std::string text =
+      "POST /desk/1 HTTP/1.1\r\nHost: desk.example\r\n" +
+      std::string(wire::kRequestId) +
+      ": slow\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\r\n3\r\nbcd\r\n"
+      "0\r\n\r\n";
+  for (const char letter : text) caller.Write(std::string(1, letter));
+  REQUIRE(StatusOf(caller.Read()) == 200);
+  const std::string ran = world.Server(0).RunsOf("slow") > 0
+                              ? world.Server(0).LastBody()
+                              : world.Server(1).LastBody();
+  CHECK(ran == "abcd");
+}
+
+TEST_CASE("A request that may not be repeated runs once, whatever the server") {
+  struct Row {
+    ServerMode mode;
+    unsigned status;
+    std::size_t runs;
+  };
+  const std::vector<Row> rows = {
+      {ServerMode::kLosingReply, 502, 1},
+      {ServerMode::kFailing, 500, 1},  // the server's own answer
+      {ServerMode::kShedding, 503, 0},
+  };
+  EdgeWorld world;
+  const std::unique_ptr<EdgeProcess> edge = world.StartEdge();
+  for (std::size_t index = 0; index < rows.size(); ++index) {
+    const Row& row = rows[index];
+    const std::string id = "once-" + std::to_string(index);
+    INFO(id);
+    world.Server(0).SetMode(row.mode);
+    world.Server(1).SetMode(row.mode);
+    REQUIRE(WaitFor([&edge, &id] {
+      // A server in doubt after the row before is cleared first.
+      RawCaller probe(edge->Callers());
+      const unsigned status =
+          StatusOf(probe.Ask("/once/1", id + "-probe", "POST", "pay"));
+      return status != 503 || id == "once-2";
+    }));
+    RawCaller caller(edge->Callers());
+    unsigned status = 0;
+    REQUIRE(WaitFor([&] {
+      status = StatusOf(caller.Ask("/once/1", id, "POST", "pay"));
+      return status != 0;
+    }));
+    CHECK((status == row.status || status == 503));
+    CHECK(RunsOf(world, id) == (status == 503 ? 0 : row.runs));
+  }
+}
+
+TEST_CASE("A caller that leaves takes its server's work along") {
+  EdgeWorld world;
+  for (std::size_t index : {0, 1}) {
+    world.Server(index).SetServiceTime(state::Milliseconds(1'500));
+  }
+  const std::unique_ptr<EdgeProcess> edge = world.StartEdge();
+  RawCaller caller(edge->Callers());
+  caller.Write(RawCaller::Request("/desk/1", "left"));
+  REQUIRE(WaitFor([&world] { return RunsOf(world, "left") > 0; }));
+  caller.Close();
+  CHECK(WaitFor([&world] {
+    return world.Server(0).GivenUp() + world.Server(1).GivenUp() ==
+           RunsOf(world, "left");
+  }));
+}
+
+TEST_CASE("A planned stop finishes what was begun and cuts nobody") {
+  EdgeWorld world;
+  const std::unique_ptr<EdgeProcess> edge = world.StartEdge();
+  RawCaller busy(edge->Callers());
+  RawCaller kept(edge->Callers());
+  REQUIRE(StatusOf(busy.Ask("/desk/1", "before-1")) == 200);
+  REQUIRE(StatusOf(kept.Ask("/desk/1", "before-2")) == 200);
+  for (std::size_t index : {0, 1}) {
+    world.Server(index).SetServiceTime(state::Milliseconds(600));
+  }
+  busy.Write(RawCaller::Request("/desk/1", "during"));
+  REQUIRE(WaitFor([&world] { return RunsOf(world, "during") > 0; }));
+  edge->Signal(SIGTERM);
+  REQUIRE(WaitFor([&edge] { return !edge->IsReady(); }));
+  const std::optional<Response> last = kept.Ask("/desk/1", "late");
+  REQUIRE(StatusOf(last) == 200);
+  CHECK_FALSE(last->keep_alive());
+  const std::optional<Response> finished = busy.Read();
+  REQUIRE(StatusOf(finished) == 200);
+  CHECK(finished->body() == "during done");
+  CHECK(edge->WaitForExit(kExitBound) == 0);
+}
+
+TEST_CASE("SIGHUP reads the settings again and stops nothing") {
+  EdgeWorld world;
+  const std::unique_ptr<EdgeProcess> edge = world.StartEdge();
+  RawCaller caller(edge->Callers());
+  edge->Signal(SIGHUP);
+  CHECK(edge->WaitForEvent("settings_reloaded", kEventBound));
+  CHECK(StatusOf(caller.Ask("/desk/1", "h-1")) == 200);
+  std::ofstream(edge->SettingsFile()) << "{\"id\": 7}";
+  edge->Signal(SIGHUP);
+  CHECK(edge->WaitForEvent("settings_refused", kEventBound));
+  CHECK(StatusOf(caller.Ask("/desk/1", "h-2")) == 200);
+}
+
+TEST_CASE("Entries that can't be read are passed over, and said so") {
+  EdgeWorld world;
+  const std::unique_ptr<EdgeProcess> edge = world.StartEdge();
+  world.Store().PutRaw(std::string(wire::kServerPrefix) + "d9", "%%%");
+  CHECK(edge->WaitForEvent("source_entry_unreadable", kEventBound));
+  world.Store().Put("someone/elses", {{"Service", 7}});
+  world.Store().Put(wire::kRoutesKey, {{"Version", "new"}});
+  CHECK(edge->WaitForEvent("source_entry_unreadable", kEventBound));
+  RawCaller caller(edge->Callers());
+  CHECK(StatusOf(caller.Ask("/desk/1", "still")) == 200);
+  world.PutRoutes(2);
+  CHECK(edge->WaitForEvent("routes_in_force", kEventBound));
+}
+
+TEST_CASE("A store in trouble takes nothing from what is in force") {
+  for (const StoreMode mode :
+       {StoreMode::kRefusing, StoreMode::kSilent, StoreMode::kForgetful,
+        StoreMode::kLosingReply}) {
+    INFO(static_cast<int>(mode));
+    EdgeWorld world;
+    const std::unique_ptr<EdgeProcess> edge = world.StartEdge();
+    world.Store().SetMode(mode);
+    RawCaller caller(edge->Callers());
+    for (int index = 0; index < 20; ++index) {
+      CHECK(StatusOf(caller.Ask("/desk/1", "t" + std::to_string(index))) ==
+            200);
+    }
+    world.PutRoutes(7);
+    world.Store().SetMode(StoreMode::kUp);
+    const std::optional<nlohmann::json> line =
+        edge->WaitForEvent("routes_in_force", kEventBound);
+    REQUIRE(line);
+    const std::optional<nlohmann::json> next =
+        line->value("version", "") == "7"
+            ? line
+            : edge->WaitForEvent("routes_in_force", kEventBound);
+    REQUIRE(next);
+    CHECK(next->value("version", "") == "7");
+  }
+}
+
+TEST_CASE("A host that starts without the store refuses truly, and recovers") {
+  EdgeWorld world;
+  world.Store().SetMode(StoreMode::kRefusing);
+  EdgeProcess edge("edge-1", "a", world.Store().Address(), world.Ports());
+  edge.Start();
+  std::optional<Response> refused;
+  REQUIRE(WaitFor([&edge, &refused] {
+    RawCaller caller(edge.Callers());
+    refused = caller.Ask("/desk/1", "early");
+    return refused.has_value();
+  }));
+  CHECK(StatusOf(refused) == 503);
+  CHECK_FALSE((*refused)[wire::kRetryAfter].empty());
+  CHECK_FALSE(edge.IsReady());
+  world.Store().SetMode(StoreMode::kUp);
+  CHECK(WaitFor([&edge] {
+    RawCaller caller(edge.Callers());
+    return StatusOf(caller.Ask("/desk/1", "later")) == 200;
+  }));
+  CHECK(RunsOf(world, "early") == 0);
+}
+
+}  // namespace
+}  // namespace banyanknot::platform::edge_testing
--- /dev/null
+++ b/test/platform/edge/edge_world.cc
@@ -0,0 +1,143 @@
+#include "platform/edge/edge_world.h"
+
+#include <array>
+#include <catch2/catch.hpp>
+#include <chrono>
+#include <fstream>
+#include <thread>
+#include <utility>
+
+#include "platform/wire_names.h"
+
+namespace banyanknot::platform::edge_testing {
+namespace {
+
+using nlohmann::json;
+
+constexpr std::chrono::seconds kPatience(20);
+constexpr std::chrono::milliseconds kPoll(10);
+constexpr state::Duration kCallTimeout = state::Milliseconds(2'000);
+
+json RouteJson(const char* name, const char* prefix, const char* type) {
+  return {{"Name", name},      {"Host", EdgeWorld::kHost}, {"Prefix", prefix},
+          {"RouteType", type}, {"MaxAttempts", 2},         {"TimeoutMs", 2'000},
+          {"ObjectiveMs", 400}};
+}
+
+json ServiceJson(const char* name) {
+  return {{"Name", name}, {"HealthPath", "/health"}, {"MaxConns", 64}};
+}
+
+state::Endpoint TakeEndpoint(standins::FreePorts& ports) {
+  return {"127.0.0.1", ports.Take()};
+}
+
+}  // namespace
+
+bool WaitFor(const std::function<bool()>& condition) {
+  const std::chrono::steady_clock::time_point deadline =
+      std::chrono::steady_clock::now() + kPatience;
+  while (!condition()) {
+    if (std::chrono::steady_clock::now() >= deadline) return false;
+    std::this_thread::sleep_for(kPoll);
+  }
+  return true;
+}
+
+EdgeProcess::EdgeProcess(const std::string& id, const std::string& domain,
+                         const state::Endpoint& store,
+                         standins::FreePorts& ports, const json& settings)
+    : id(id),
+      callers(TakeEndpoint(ports)),
+      ready(TakeEndpoint(ports)),
+      metrics(TakeEndpoint(ports)),
+      file(this->folder.Path() + "/settings.json") {
+  json all = {{"id", id},
+              {"domain", domain},
+              {"caller_listen", ToText(this->callers)},
+              {"ready_listen", ToText(this->ready)},
+              {"metrics_listen", ToText(this->metrics)},
+              {"source", ToText(store)},
+              {"source_contact_ms", 4'000},
+              {"leave_grace_ms", 200}};
+  all.update(settings);
+  std::ofstream(this->file) << all.dump();
+}
+
+void EdgeProcess::Start() {
+  this->process = std::make_unique<standins::ChildProcess>(
+      BANYANKNOT_EDGE_PROGRAM,
+      std::vector<std::string>{"--settings=" + this->file},
+      this->folder.Path() + "/errors");
+}
+
+std::optional<json> EdgeProcess::WaitForEvent(const std::string& name,
+                                              state::Duration timeout) {
+  while (std::optional<json> line = this->process->ReadJsonLine(timeout)) {
+    if (line->value("name", "") == name) return line;
+  }
+  return std::nullopt;
+}
+
+bool EdgeProcess::IsReady() {
+  standins::BlockingHttpClient client(kCallTimeout);
+  const transport::HttpCallResult result =
+      client.Call(this->ready, "GET", wire::kReadyPath, "");
+  return state::IsOk(result) && state::ValueOf(result).status == 200;
+}
+
+EdgeWorld::EdgeWorld() {
+  for (const char* id : {"d1", "d2", "s0", "s1"}) {
+    // Sixteen bytes: one record of a gather.
+    const std::string body = id[0] == 'd' ? " done" : "";
+    this->servers.push_back(std::make_unique<ServerStandIn>(id, body));
+    this->Register(*this->servers.back());
+  }
+  this->PutRoutes(1);
+}
+
+void EdgeWorld::Register(const ServerStandIn& server, std::uint16_t port) {
+  const char kind = server.Id().front();
+  const std::string service =
+      kind == 'd' ? "desk" : "shard" + server.Id().substr(1);
+  const std::uint16_t used = port == 0 ? server.Port() : port;
+  this->store.Put(wire::kServerPrefix + server.Id(),
+                  {{"Service", service},
+                   {"Address", "127.0.0.1:" + std::to_string(used)},
+                   {"Zone", "a"},
+                   {"Slots", 8},
+                   {"State", "ready"},
+                   {"born", 1}});
+}
+
+void EdgeWorld::PutRoutes(std::uint64_t version) {
+  json desk = RouteJson("desk", "/desk/", "idempotent");
+  desk["Service"] = "desk";
+  json once = RouteJson("once", "/once/", "non_idempotent");
+  once["Service"] = "desk";
+  json all = RouteJson("all", "/all/", "idempotent");
+  all["Gather"] = {"shard0", "shard1"};
+  all["TopK"] = 4;
+  all["MinCoverage"] = 0.5;
+  this->store.Put(
+      wire::kRoutesKey,
+      {{"Version", version},
+       {"Routes", {desk, once, all}},
+       {"Services",
+        {ServiceJson("desk"), ServiceJson("shard0"), ServiceJson("shard1")}},
+       {"Limits",
+        {{"MaxHeaderBytes", 4'096},
+         {"MaxBodyBytes", 8'192},
+         {"HeaderTimeoutMs", 3'000},
+         {"IdleTimeoutMs", 10'000}}}});
+}
+
+std::unique_ptr<EdgeProcess> EdgeWorld::StartEdge(const json& settings) {
+  std::unique_ptr<EdgeProcess> edge = std::make_unique<EdgeProcess>(
+      "edge-1", "a", this->store.Address(), this->ports, settings);
+  edge->Start();
+  REQUIRE(WaitFor([&edge] { return edge->IsReady(); }));
+  return edge;
+}
+
+}  // namespace banyanknot::platform::edge_testing
--- /dev/null
+++ b/test/platform/edge/raw_caller.h
@@ -0,0 +1,52 @@
+#ifndef BANYANKNOT_TEST_PLATFORM_EDGE_RAW_CALLER_H_
+#define BANYANKNOT_TEST_PLATFORM_EDGE_RAW_CALLER_H_
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+#include <optional>
+#include <string>
+
+#include "banyanknot/state/endpoint.h"
+
+namespace banyanknot::platform::edge_testing {
+
+/// \brief A caller that writes any bytes on a connection of its own.
+///
+/// Not thread-safe. Blocks, but for no longer than its patience.
+class RawCaller {
+ public:
+  using Response =
+      boost::beast::http::response<boost::beast::http::string_body>;
+
+  explicit RawCaller(const state::Endpoint& endpoint);
+
+  void Write(const std::string& bytes);
+  /// \returns nothing if the connection ends, or nothing comes for long
+  std::optional<Response> Read();
+  /// \brief Tells whether the other side closes within a while.
+  bool IsClosedByPeer();
+  void Close();
+
+  /// \brief Writes a request and reads its response.
+  std::optional<Response> Ask(const std::string& target,
+                              const std::string& request_id,
+                              const std::string& method = "GET",
+                              const std::string& body = "");
+
+  /// \brief A request as text, with what the platform's callers send.
+  static std::string Request(const std::string& target,
+                             const std::string& request_id,
+                             const std::string& method = "GET",
+                             const std::string& body = "");
+
+ private:
+  boost::asio::io_context context;
+  boost::asio::ip::tcp::socket socket{context};
+  boost::beast::flat_buffer buffer;
+};
+
+}  // namespace banyanknot::platform::edge_testing
+
+#endif  // BANYANKNOT_TEST_PLATFORM_EDGE_RAW_CALLER_H_
--- /dev/null
+++ b/test/platform/edge/store_stand_in.h
@@ -0,0 +1,70 @@
+#ifndef BANYANKNOT_TEST_PLATFORM_EDGE_STORE_STAND_IN_H_
+#define BANYANKNOT_TEST_PLATFORM_EDGE_STORE_STAND_IN_H_
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <vector>
+
+#include "banyanknot/state/endpoint.h"
+#include "banyanknot/transport/http_server.h"
+#include "banyanknot/transport/io_threads.h"
+
+namespace banyanknot::platform::edge_testing {
+
+/// \brief What the store does with those who ask.
+enum class StoreMode {
+  kUp,
+  kRefusing,     ///< says that nothing was done
+  kSilent,       ///< answers nothing
+  kForgetful,    ///< knows no history: every watch has to begin anew
+  kLosingReply,  ///< closes the connection in place of an answer
+};
+
+/// \brief A store that speaks the platform's protocol: ranges and watches.
+///
+/// Thread-safe.
+class StoreStandIn : public transport::HttpHandler {
+ public:
+  StoreStandIn();
+  ~StoreStandIn() override;
+
+  state::Endpoint Address() const { return {"127.0.0.1", this->port}; }
+  void SetMode(StoreMode mode);
+
+  /// \brief Writes a value; watches that wait hear of it.
+  void Put(const std::string& key, const nlohmann::json& value);
+  /// \brief Writes bytes that need not be JSON or base64.
+  void PutRaw(const std::string& key, const std::string& encoded);
+  void Delete(const std::string& key);
+
+  void Handle(std::shared_ptr<transport::HttpExchange> exchange) override;
+
+ private:
+  struct Watch {
+    std::uint64_t after = 0;
+    std::shared_ptr<transport::HttpExchange> exchange;
+  };
+
+  void Write(const std::string& key, nlohmann::json item);
+  nlohmann::json EventsAfter(std::uint64_t after) const;
+  protocol::HttpResponse Range() const;
+  void AnswerWatches();
+
+  mutable std::mutex mutex;
+  StoreMode mode = StoreMode::kUp;
+  std::uint64_t revision = 1;
+  std::map<std::string, nlohmann::json> items;  // the deleted too, by key
+  std::vector<Watch> watches;
+  std::vector<std::shared_ptr<transport::HttpExchange>> unanswered;
+  transport::IoThreads threads{1};
+  transport::HttpServer server;
+  std::uint16_t port = 0;
+};
+
+}  // namespace banyanknot::platform::edge_testing
+
+#endif  // BANYANKNOT_TEST_PLATFORM_EDGE_STORE_STAND_IN_H_
