--- a/daemons/relay_application.cc
+++ b/daemons/relay_application.cc
@@ -2,6 +2,7 @@
 
 #include <sys/stat.h>
 
+#include <atomic>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <csignal>
@@ -15,6 +16,7 @@
 #include "draw_seed.h"
 #include "late_readiness.h"
 #include "relay_front_service.h"
+#include "relay_host_metrics.h"
 #include "relay_status_service.h"
 #include "relay_stop_target.h"
 
@@ -96,7 +98,8 @@
         reach(clock, routes, servers, log),
         front_service(clock, codec, readiness, executor),
         front(threads.Context(), front_service, LimitsOf({})),
-        status_service(codec.ReadyPath(), readiness, journal),
+        host_metrics(log, readiness, routes, executor),
+        status_service(codec.ReadyPath(), readiness, {&journal, &host_metrics}),
         ready_server(threads.Context(), status_service, {}),
         metrics_server(threads.Context(), status_service, {}),
         stop_target(executor, front),
@@ -105,6 +108,9 @@
     this->readiness.Set(this->stop);
     this->intake.OnRoutes([this](const state::RouteTable& table) {
       this->front.SetLimits(LimitsOf(table.Limits()));
+      if (this->has_routes.exchange(true)) return;
+      this->log.Write(coordination::EventCode::kHostReady,
+                      {{"version", std::to_string(table.Version())}});
     });
   }
 
@@ -113,6 +119,7 @@
   const RelaySettings settings;
   const std::string settings_file;
   std::int64_t settings_changed_at = 0;
+  std::atomic<bool> has_routes{false};
   transport::BoostEventLog log;
   coordination::AuditTrail audit;
   state::CatalogueTable policy;  // holds the times of a stop
@@ -136,6 +143,7 @@
   LateReadiness readiness;
   RelayFrontService front_service;
   transport::HttpServer front;
+  RelayHostMetrics host_metrics;
   RelayStatusService status_service;
   transport::HttpServer ready_server;
   transport::HttpServer metrics_server;
--- /dev/null
+++ b/daemons/relay_host_metrics.cc
@@ -0,0 +1,31 @@
+#include "relay_host_metrics.h"
+
+namespace banyanknot::daemons {
+
+void RelayHostMetrics::CollectMetrics(
+    std::vector<coordination::MetricSample>& samples) const {
+  const state::RouteTablePtr table = this->routes.Current();
+  samples.push_back({"banyanknot_host_ready",
+                     "1 while the host asks for callers, 0 otherwise.",
+                     coordination::MetricKind::kGauge,
+                     {},
+                     this->readiness.IsReady() ? 1.0 : 0.0});
+  samples.push_back(
+      {"banyanknot_routes_version",
+       "Version of the routes in force; 0 before the first.",
+       coordination::MetricKind::kGauge,
+       {},
+       table == nullptr ? 0.0 : static_cast<double>(table->Version())});
+  samples.push_back({"banyanknot_relay_requests_in_flight",
+                     "Requests without an answer yet.",
+                     coordination::MetricKind::kGauge,
+                     {},
+                     static_cast<double>(this->executor.Unanswered())});
+  samples.push_back({"banyanknot_log_records_dropped_total",
+                     "Log lines dropped because their queue was full.",
+                     coordination::MetricKind::kCounter,
+                     {},
+                     static_cast<double>(this->log.Dropped())});
+}
+
+}  // namespace banyanknot::daemons
--- /dev/null
+++ b/daemons/relay_host_metrics.h
@@ -0,0 +1,35 @@
+#ifndef BANYANKNOT_DAEMONS_RELAY_HOST_METRICS_H_
+#define BANYANKNOT_DAEMONS_RELAY_HOST_METRICS_H_
+
+#include <vector>
+
+#include "banyanknot/coordination/metric_source.h"
+#include "banyanknot/coordination/readiness.h"
+#include "banyanknot/coordination/routing/relay_executor.h"
+#include "banyanknot/coordination/routing/route_directory.h"
+#include "banyanknot/transport/boost_event_log.h"
+
+namespace banyanknot::daemons {
+
+/// \brief What a relay host says of itself in its metrics.
+class RelayHostMetrics : public coordination::MetricSource {
+ public:
+  RelayHostMetrics(const transport::BoostEventLog& log,
+                   const coordination::Readiness& readiness,
+                   const coordination::RouteDirectory& routes,
+                   const coordination::RelayExecutor& executor)
+      : log(log), readiness(readiness), routes(routes), executor(executor) {}
+
+  void CollectMetrics(
+      std::vector<coordination::MetricSample>& samples) const override;
+
+ private:
+  const transport::BoostEventLog& log;
+  const coordination::Readiness& readiness;
+  const coordination::RouteDirectory& routes;
+  const coordination::RelayExecutor& executor;
+};
+
+}  // namespace banyanknot::daemons
+
+#endif  // BANYANKNOT_DAEMONS_RELAY_HOST_METRICS_H_
--- a/daemons/relay_status_service.cc
+++ b/daemons/relay_status_service.cc
@@ -15,10 +15,10 @@
 
 RelayStatusService::RelayStatusService(
     std::string ready_path, const coordination::Readiness& readiness,
-    const coordination::MetricSource& metrics)
+    std::vector<const coordination::MetricSource*> metrics)
     : ready_path(std::move(ready_path)),
       readiness(readiness),
-      metrics(metrics) {}
+      metrics(std::move(metrics)) {}
 
 void RelayStatusService::Handle(
     std::shared_ptr<transport::HttpExchange> exchange) {
@@ -29,7 +29,9 @@
     if (!this->readiness.IsReady()) response.status = kHttpUnavailable;
   } else if (target == protocol::kMetricsPath) {
     std::vector<coordination::MetricSample> samples;
-    this->metrics.CollectMetrics(samples);
+    for (const coordination::MetricSource* source : this->metrics) {
+      source->CollectMetrics(samples);
+    }
     response = protocol::EncodeMetrics(samples);
   } else {
     response.status = kHttpNotFound;
--- a/daemons/relay_status_service.h
+++ b/daemons/relay_status_service.h
@@ -3,6 +3,7 @@
 
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "banyanknot/coordination/metric_source.h"
 #include "banyanknot/coordination/readiness.h"
@@ -16,13 +17,13 @@
  public:
   RelayStatusService(std::string ready_path,
                      const coordination::Readiness& readiness,
-                     const coordination::MetricSource& metrics);
+                     std::vector<const coordination::MetricSource*> metrics);
   void Handle(std::shared_ptr<transport::HttpExchange> exchange) override;
 
  private:
   const std::string ready_path;
   const coordination::Readiness& readiness;
-  const coordination::MetricSource& metrics;
+  const std::vector<const coordination::MetricSource*> metrics;
 };
 
 }  // namespace banyanknot::daemons
--- a/include/banyanknot/coordination/metric_kind.h
+++ b/include/banyanknot/coordination/metric_kind.h
@@ -10,14 +10,16 @@
 
 /// \brief How a metric's value behaves over time.
 enum class MetricKind {
-  kCounter,  ///< only grows while the process runs
-  kGauge,    ///< goes up and down
+  kCounter,    ///< only grows while the process runs
+  kGauge,      ///< goes up and down
+  kHistogram,  ///< observations, counted up to each of some bounds
 };
 
 /// \brief Names of MetricKind, as they stand in messages and logs.
-inline constexpr std::array<state::EnumName<MetricKind>, 2> kMetricKindNames{{
+inline constexpr std::array<state::EnumName<MetricKind>, 3> kMetricKindNames{{
     {MetricKind::kCounter, "counter"},
     {MetricKind::kGauge, "gauge"},
+    {MetricKind::kHistogram, "histogram"},
 }};
 
 /// \brief Returns the name of a MetricKind.
--- a/include/banyanknot/coordination/metric_source.h
+++ b/include/banyanknot/coordination/metric_source.h
@@ -1,6 +1,7 @@
 #ifndef BANYANKNOT_COORDINATION_METRIC_SOURCE_H_
 #define BANYANKNOT_COORDINATION_METRIC_SOURCE_H_
 
+#include <cstdint>
 #include <string>
 #include <utility>
 #include <vector>
@@ -15,13 +16,20 @@
   std::string value;
 };
 
+/// \brief How many observations lay up to a bound.
+struct MetricBucket {
+  double upper_bound = 0;   ///< infinity for the last
+  std::uint64_t count = 0;  ///< of this bucket and all below
+};
+
 /// \brief One value of a metric at the time of reading.
 struct MetricSample {
   std::string name;  ///< ends in its unit, as scrapers expect
   std::string help;
   MetricKind kind = MetricKind::kGauge;
   std::vector<MetricLabel> labels;
-  double value = 0;
+  double value = 0;                   ///< of a histogram, the sum of all
+  std::vector<MetricBucket> buckets;  ///< of a histogram, rising
 };
 
 /// \brief Something that has metrics to show.
--- a/src/coordination/routing/relay_journal.cc
+++ b/src/coordination/routing/relay_journal.cc
@@ -1,7 +1,9 @@
 #include "banyanknot/coordination/routing/relay_journal.h"
 
 #include <algorithm>
+#include <limits>
 #include <string>
+#include <utility>
 
 namespace banyanknot::coordination {
 namespace {
@@ -118,23 +120,27 @@
                        {{"outcome", std::string(row.name)}},
                        static_cast<double>(this->ended[IndexOf(row.value)])});
   }
+  MetricSample durations{"banyanknot_relay_request_duration_seconds",
+                         "Time from a request to its answer.",
+                         MetricKind::kHistogram,
+                         {},
+                         this->seconds,
+                         {}};
   std::uint64_t below = 0;
   for (std::size_t index = 0; index < this->times.size(); ++index) {
     below += this->times[index];
-    const std::string bound =
-        index < kBoundsMs.size() ? std::to_string(kBoundsMs[index]) : "+Inf";
-    samples.push_back({"banyanknot_relay_requests_within_milliseconds_total",
-                       "Requests that ended within so many milliseconds.",
-                       MetricKind::kCounter,
-                       {{"le", bound}},
-                       static_cast<double>(below)});
+    const double bound = index < kBoundsMs.size()
+                             ? std::chrono::duration<double>(
+                                   state::Milliseconds(kBoundsMs[index]))
+                                   .count()
+                             : std::numeric_limits<double>::infinity();
+    durations.buckets.push_back({bound, below});
   }
+  samples.push_back(std::move(durations));
   const auto add = [&samples](const char* name, const char* help,
                               double value) {
     samples.push_back({name, help, MetricKind::kCounter, {}, value});
   };
-  add("banyanknot_relay_request_seconds_total",
-      "Time that requests took, added up.", this->seconds);
   add("banyanknot_relay_server_requests_total", "Requests sent to servers.",
       static_cast<double>(this->totals.sent));
   add("banyanknot_relay_extra_server_requests_total",
--- a/standins/child_process.cc
+++ b/standins/child_process.cc
@@ -17,21 +17,27 @@
 namespace {
 
 constexpr state::Duration kExitPoll = state::Milliseconds(5);
-constexpr mode_t kErrorFileMode = 0644;
+constexpr mode_t kFileMode = 0644;
+constexpr int kAppend = O_WRONLY | O_CREAT | O_APPEND;
 
 }  // namespace
 
 ChildProcess::ChildProcess(const std::string& program,
                            const std::vector<std::string>& arguments,
-                           const std::string& error_file) {
+                           const std::string& error_file,
+                           const std::string& output_file) {
   std::array<int, 2> ends{-1, -1};
   if (pipe2(ends.data(), O_CLOEXEC) != 0) return;
   posix_spawn_file_actions_t actions;
   posix_spawn_file_actions_init(&actions);
-  posix_spawn_file_actions_adddup2(&actions, ends[1], STDOUT_FILENO);
+  if (output_file.empty()) {
+    posix_spawn_file_actions_adddup2(&actions, ends[1], STDOUT_FILENO);
+  } else {
+    posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO,
+                                     output_file.c_str(), kAppend, kFileMode);
+  }
   posix_spawn_file_actions_addopen(&actions, STDERR_FILENO, error_file.c_str(),
-                                   O_WRONLY | O_CREAT | O_APPEND,
-                                   kErrorFileMode);
+                                   kAppend, kFileMode);
   std::vector<std::string> owned{program};
   owned.insert(owned.end(), arguments.begin(), arguments.end());
   std::vector<char*> pointers;
--- a/standins/child_process.h
+++ b/standins/child_process.h
@@ -19,9 +19,12 @@
  public:
   /// \brief Starts `program`.
   /// \param error_file file to which its standard error is appended
+  /// \param output_file file to which its standard output is appended; empty
+  ///     for ReadJsonLine() to read it
   ChildProcess(const std::string& program,
                const std::vector<std::string>& arguments,
-               const std::string& error_file);
+               const std::string& error_file,
+               const std::string& output_file = "");
   ~ChildProcess();
   ChildProcess(const ChildProcess&) = delete;
   ChildProcess& operator=(const ChildProcess&) = delete;
--- a/test/platform/edge/edge_process_test.cc
+++ b/test/platform/edge/edge_process_test.cc
@@ -24,6 +24,14 @@
   return response ? response->result_int() : 0;
 }
 
+std::unique_ptr<EdgeProcess> StartReady(EdgeWorld& world) {
+  std::unique_ptr<EdgeProcess> edge = std::make_unique<EdgeProcess>(
+      "edge-1", "a", world.Store().Address(), world.Ports());
+  edge->Start();
+  REQUIRE(WaitFor([&edge] { return edge->IsReady(); }));
+  return edge;
+}
+
 std::size_t RunsOf(const EdgeWorld& world, const std::string& request_id) {
   std::size_t runs = 0;
   for (const std::unique_ptr<ServerStandIn>& server : world.Servers()) {
@@ -34,7 +42,7 @@
 
 TEST_CASE("The edge program relays and gathers") {
   EdgeWorld world;
-  const std::unique_ptr<EdgeProcess> edge = world.StartEdge();
+  const std::unique_ptr<EdgeProcess> edge = StartReady(world);
   RawCaller caller(edge->Callers());
   const std::optional<Response> relayed = caller.Ask("/desk/1", "r-1");
   REQUIRE(StatusOf(relayed) == 200);
@@ -51,7 +59,7 @@
 
 TEST_CASE("What is no clean request reaches no server and harms no other") {
   EdgeWorld world;
-  const std::unique_ptr<EdgeProcess> edge = world.StartEdge();
+  const std::unique_ptr<EdgeProcess> edge = StartReady(world);
   RawCaller other(edge->Callers());
   const std::string head = "POST /desk/1 HTTP/1.1\r\nHost: desk.example\r\n" +
                            std::string(wire::kRequestId) + ": bad\r\n";
@@ -85,7 +93,7 @@
 
 TEST_CASE("The configuration's limits of header and body are kept") {
   EdgeWorld world;
-  const std::unique_ptr<EdgeProcess> edge = world.StartEdge();
+  const std::unique_ptr<EdgeProcess> edge = StartReady(world);
   RawCaller small(edge->Callers());
   CHECK(StatusOf(small.Ask("/desk/1", "fits", "POST",
                            std::string(8'000, 'x'))) == 200);
@@ -100,7 +108,7 @@
 
 TEST_CASE("Requests sent behind one another are answered in their order") {
   EdgeWorld world;
-  const std::unique_ptr<EdgeProcess> edge = world.StartEdge();
+  const std::unique_ptr<EdgeProcess> edge = StartReady(world);
   RawCaller caller(edge->Callers());
   std::string bytes;
   for (const char* id : {"p-1", "p-2", "p-3"}) {
@@ -116,7 +124,7 @@
 
 TEST_CASE("A body that trickles in, in odd chunks, is passed on whole") {
   EdgeWorld world;
-  const std::unique_ptr<EdgeProcess> edge = world.StartEdge();
+  const std::unique_ptr<EdgeProcess> edge = StartReady(world);
   RawCaller caller(edge->Callers());
   const std::string text =
       "POST /desk/1 HTTP/1.1\r\nHost: desk.example\r\n" +
@@ -143,7 +151,7 @@
       {ServerMode::kShedding, 503, 0},
   };
   EdgeWorld world;
-  const std::unique_ptr<EdgeProcess> edge = world.StartEdge();
+  const std::unique_ptr<EdgeProcess> edge = StartReady(world);
   for (std::size_t index = 0; index < rows.size(); ++index) {
     const Row& row = rows[index];
     const std::string id = "once-" + std::to_string(index);
@@ -173,7 +181,7 @@
   for (std::size_t index : {0, 1}) {
     world.Server(index).SetServiceTime(state::Milliseconds(1'500));
   }
-  const std::unique_ptr<EdgeProcess> edge = world.StartEdge();
+  const std::unique_ptr<EdgeProcess> edge = StartReady(world);
   RawCaller caller(edge->Callers());
   caller.Write(RawCaller::Request("/desk/1", "left"));
   REQUIRE(WaitFor([&world] { return RunsOf(world, "left") > 0; }));
@@ -186,7 +194,7 @@
 
 TEST_CASE("A planned stop finishes what was begun and cuts nobody") {
   EdgeWorld world;
-  const std::unique_ptr<EdgeProcess> edge = world.StartEdge();
+  const std::unique_ptr<EdgeProcess> edge = StartReady(world);
   RawCaller busy(edge->Callers());
   RawCaller kept(edge->Callers());
   REQUIRE(StatusOf(busy.Ask("/desk/1", "before-1")) == 200);
@@ -209,7 +217,7 @@
 
 TEST_CASE("SIGHUP reads the settings again and stops nothing") {
   EdgeWorld world;
-  const std::unique_ptr<EdgeProcess> edge = world.StartEdge();
+  const std::unique_ptr<EdgeProcess> edge = StartReady(world);
   RawCaller caller(edge->Callers());
   edge->Signal(SIGHUP);
   CHECK(edge->WaitForEvent("settings_reloaded", kEventBound));
@@ -222,7 +230,7 @@
 
 TEST_CASE("Entries that can't be read are passed over, and said so") {
   EdgeWorld world;
-  const std::unique_ptr<EdgeProcess> edge = world.StartEdge();
+  const std::unique_ptr<EdgeProcess> edge = StartReady(world);
   world.Store().PutRaw(std::string(wire::kServerPrefix) + "d9", "%%%");
   CHECK(edge->WaitForEvent("source_entry_unreadable", kEventBound));
   world.Store().Put("someone/elses", {{"Service", 7}});
@@ -240,7 +248,7 @@
         StoreMode::kLosingReply}) {
     INFO(static_cast<int>(mode));
     EdgeWorld world;
-    const std::unique_ptr<EdgeProcess> edge = world.StartEdge();
+    const std::unique_ptr<EdgeProcess> edge = StartReady(world);
     world.Store().SetMode(mode);
     RawCaller caller(edge->Callers());
     for (int index = 0; index < 20; ++index) {
--- a/test/platform/edge/edge_world.cc
+++ b/test/platform/edge/edge_world.cc
@@ -1,7 +1,6 @@
 #include "platform/edge/edge_world.h"
 
 #include <array>
-#include <catch2/catch.hpp>
 #include <chrono>
 #include <fstream>
 #include <thread>
@@ -46,29 +45,29 @@
 
 EdgeProcess::EdgeProcess(const std::string& id, const std::string& domain,
                          const state::Endpoint& store,
-                         standins::FreePorts& ports, const json& settings)
+                         standins::FreePorts& ports, std::string log_file)
     : id(id),
+      log_file(std::move(log_file)),
       callers(TakeEndpoint(ports)),
       ready(TakeEndpoint(ports)),
       metrics(TakeEndpoint(ports)),
       file(this->folder.Path() + "/settings.json") {
-  json all = {{"id", id},
-              {"domain", domain},
-              {"caller_listen", ToText(this->callers)},
-              {"ready_listen", ToText(this->ready)},
-              {"metrics_listen", ToText(this->metrics)},
-              {"source", ToText(store)},
-              {"source_contact_ms", 4'000},
-              {"leave_grace_ms", 200}};
-  all.update(settings);
-  std::ofstream(this->file) << all.dump();
+  const json settings = {{"id", id},
+                         {"domain", domain},
+                         {"caller_listen", ToText(this->callers)},
+                         {"ready_listen", ToText(this->ready)},
+                         {"metrics_listen", ToText(this->metrics)},
+                         {"source", ToText(store)},
+                         {"source_contact_ms", 4'000},
+                         {"leave_grace_ms", 200}};
+  std::ofstream(this->file) << settings.dump();
 }
 
 void EdgeProcess::Start() {
   this->process = std::make_unique<standins::ChildProcess>(
       BANYANKNOT_EDGE_PROGRAM,
       std::vector<std::string>{"--settings=" + this->file},
-      this->folder.Path() + "/errors");
+      this->folder.Path() + "/errors", this->log_file);
 }
 
 std::optional<json> EdgeProcess::WaitForEvent(const std::string& name,
@@ -132,12 +131,4 @@
          {"IdleTimeoutMs", 10'000}}}});
 }
 
-std::unique_ptr<EdgeProcess> EdgeWorld::StartEdge(const json& settings) {
-  std::unique_ptr<EdgeProcess> edge = std::make_unique<EdgeProcess>(
-      "edge-1", "a", this->store.Address(), this->ports, settings);
-  edge->Start();
-  REQUIRE(WaitFor([&edge] { return edge->IsReady(); }));
-  return edge;
-}
-
 }  // namespace banyanknot::platform::edge_testing
--- a/test/platform/edge/edge_world.h
+++ b/test/platform/edge/edge_world.h
@@ -1,6 +1,7 @@
 #ifndef BANYANKNOT_TEST_PLATFORM_EDGE_EDGE_WORLD_H_
 #define BANYANKNOT_TEST_PLATFORM_EDGE_EDGE_WORLD_H_
 
+#include <functional>
 #include <memory>
 #include <nlohmann/json.hpp>
 #include <string>
@@ -18,10 +19,10 @@
 /// \brief One edge program, as a process of its own.
 class EdgeProcess {
  public:
-  /// \param settings overrides of the usual settings
+  /// \param log_file where its log is kept; empty for WaitForEvent()
   EdgeProcess(const std::string& id, const std::string& domain,
               const state::Endpoint& store, standins::FreePorts& ports,
-              const nlohmann::json& settings = nlohmann::json::object());
+              std::string log_file = "");
 
   const std::string& Id() const { return this->id; }
   const state::Endpoint& Callers() const { return this->callers; }
@@ -43,6 +44,7 @@
 
  private:
   const std::string id;
+  const std::string log_file;
   standins::TemporaryFolder folder;
   state::Endpoint callers;
   state::Endpoint ready;
@@ -70,10 +72,6 @@
   void Register(const ServerStandIn& server, std::uint16_t port = 0);
   void PutRoutes(std::uint64_t version);
 
-  /// \brief Starts an edge program and waits until it is ready.
-  std::unique_ptr<EdgeProcess> StartEdge(
-      const nlohmann::json& settings = nlohmann::json::object());
-
   static constexpr const char* kHost = "desk.example";
 
  private:
--- a/test/protocol/operator_output_test.cc
+++ b/test/protocol/operator_output_test.cc
@@ -1,4 +1,5 @@
 #include <catch2/catch.hpp>
+#include <limits>
 #include <nlohmann/json.hpp>
 
 #include "banyanknot/protocol/log_line.h"
@@ -25,6 +26,24 @@
   }
 }
 
+TEST_CASE("A histogram comes out with its buckets, sum and count") {
+  coordination::MetricSample sample{
+      "took_seconds",
+      "Time.",
+      coordination::MetricKind::kHistogram,
+      {},
+      1.5,
+      {{0.1, 2}, {std::numeric_limits<double>::infinity(), 3}}};
+  const std::string body = EncodeMetrics({sample}).body;
+  INFO(body);
+  for (const char* line :
+       {"# TYPE took_seconds histogram\n", "took_seconds_count 3\n",
+        "took_seconds_sum 1.5\n", "took_seconds_bucket{le=\"0.1",
+        "took_seconds_bucket{le=\"+Inf\"} 3\n"}) {
+    CHECK(body.find(line) != std::string::npos);
+  }
+}
+
 TEST_CASE("Metrics come out as one family a name") {
   const HttpResponse response = EncodeMetrics(
       {{"a_total", "A.", coordination::MetricKind::kCounter, {{"x", "1"}}, 2},
--- a/tools/test.sh
+++ b/tools/test.sh
@@ -8,6 +8,7 @@
 "$root/tools/check_includes.sh"
 "$root/tools/check_auto.py"
 "$root/tools/check_events.py"
+"$root/tools/check_metrics.py"
 "$root/tools/check_platform_names.py"
 "$root/tools/generate_schemas.py" --check
 "$root/tools/check_generated.sh"
