--- a/include/banyanknot/coordination/routing/relay_run.h
+++ b/include/banyanknot/coordination/routing/relay_run.h
@@ -12,6 +12,7 @@
 #include "banyanknot/coordination/routing/relay_parts.h"
 #include "banyanknot/coordination/routing/relay_policies.h"
 #include "banyanknot/coordination/routing/relay_times.h"
+#include "banyanknot/coordination/routing/room_judge.h"
 #include "banyanknot/coordination/routing/top_record_merger.h"
 #include "banyanknot/state/routing/route_table.h"
 
@@ -58,20 +59,12 @@
   const RelayCounts& Counts() const { return this->counts; }
   /// \brief What was foretold where there was no room in time; zero if
   /// nothing was.
-  state::Duration CrowdedWait() const { return this->crowded_wait.wait; }
+  state::Duration CrowdedWait() const { return this->room.CrowdedWait(); }
   state::TimePoint End() const { return this->times.end; }
   /// \brief The services whose parts are not in, a few of them, for the log.
   std::string MissingText() const { return this->parts.MissingText(); }
 
  private:
-  /// Why a part got no server.
-  enum class Shortage { kNone, kNoServer, kNoRoomInTime };
-
-  Shortage ShortageOf(const RelayPart& part, state::TimePoint now) const;
-  ExpectedWait ForecastFor(const RelayPart& part) const;
-  bool IsTooLate(const RelayPart& part, state::TimePoint now) const;
-  void NoteCrowded(const RelayPart& part);
-  Shortage FloorShortage(state::TimePoint now);
   bool Launch(RelayPart& part, state::TimePoint now, RelayEffects& effects);
   void LaunchOrWait(RelayPart& part, state::TimePoint now,
                     RelayEffects& effects);
@@ -100,13 +93,11 @@
   const RelayTimes times;
   RelayParts parts;
   RelayCounts counts;
+  RoomJudge room;
   TopRecordMerger merger;
   std::vector<std::string> signatures;
   std::optional<RelayReply> reply;  // of a relayed request
   state::TimePoint wake_at;         // the next one that was asked for
-  // Of the service that a part found crowded, for the time of return.
-  state::ServiceId crowded_service;
-  ExpectedWait crowded_wait;
   bool is_answered = false;
 };
 
--- a/include/banyanknot/state/util/time.h
+++ b/include/banyanknot/state/util/time.h
@@ -28,6 +28,12 @@
   return std::chrono::duration<double, std::milli>(duration).count();
 }
 
+/// \brief Converts milliseconds with a fraction to a Duration.
+constexpr Duration FromFractionalMilliseconds(double milliseconds) {
+  return std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double, std::milli>(milliseconds));
+}
+
 }  // namespace banyanknot::state
 
 #endif  // BANYANKNOT_STATE_UTIL_TIME_H_
--- a/src/coordination/routing/relay_run.cc
+++ b/src/coordination/routing/relay_run.cc
@@ -17,8 +17,6 @@
 /// Time from one look at a late gather's servers to the next; short against the
 /// time that a caller waits, and no two checks of a server come closer.
 constexpr state::Duration kHopeInterval = state::Milliseconds(40);
-/// Turns in a line come unevenly: a forecast is taken for this part longer.
-constexpr int kUnevenTurns = 4;
 /// Rounding of a share of shards that is given in decimals.
 constexpr double kShareEpsilon = 1e-9;
 
@@ -50,6 +48,7 @@
       times(RelayTimes::Of(*this->request, route)),
       parts(std::move(services)),
       counts(FirstCounts(route, this->parts.All().size())),
+      room(policies, route, times.end),
       merger(route.top_records) {}
 
 RelayEffects RelayRun::Start(state::TimePoint now) {
@@ -57,7 +56,8 @@
   for (const RelayPart& part : this->parts.All()) {
     this->policies.budget.NoteRequest(part.service, now);
   }
-  const Shortage shortage = this->FloorShortage(now);
+  const Shortage shortage =
+      this->room.FloorShortage(this->parts, this->counts.needed, now);
   if (shortage != Shortage::kNone) {
     this->Fail(state::RelayOutcome::kNotRun,
                shortage == Shortage::kNoServer ? "no_usable_server"
@@ -73,55 +73,6 @@
   return effects;
 }
 
-ExpectedWait RelayRun::ForecastFor(const RelayPart& part) const {
-  return this->policies.waits.Forecast(
-      part.service, {0, this->route.priority, this->times.end});
-}
-
-RelayRun::Shortage RelayRun::ShortageOf(const RelayPart& part,
-                                        state::TimePoint now) const {
-  const ServerPicker& picker = this->policies.picker;
-  if (!picker.HasUsable(part.service, part.tried, now)) {
-    return Shortage::kNoServer;
-  }
-  const state::Duration wait = this->ForecastFor(part).wait;
-  const bool is_late =
-      now + wait + wait / kUnevenTurns + picker.UsualReply(part.service, now) >=
-      this->times.end;
-  return is_late && !picker.HasRoom(part.service, part.tried, now)
-             ? Shortage::kNoRoomInTime
-             : Shortage::kNone;
-}
-
-/// Tells of a part that waited whether a reply would come after the end.
-bool RelayRun::IsTooLate(const RelayPart& part, state::TimePoint now) const {
-  return now + this->policies.picker.UsualReply(part.service, now) >=
-         this->times.end;
-}
-
-void RelayRun::NoteCrowded(const RelayPart& part) {
-  this->crowded_service = part.service;
-  this->crowded_wait = this->ForecastFor(part);
-}
-
-/// What keeps the request from its least answer, before anything is sent.
-RelayRun::Shortage RelayRun::FloorShortage(state::TimePoint now) {
-  std::size_t served = 0;
-  Shortage worst = Shortage::kNone;
-  for (const RelayPart& part : this->parts.All()) {
-    const Shortage shortage = this->ShortageOf(part, now);
-    if (shortage == Shortage::kNone) {
-      ++served;
-      continue;
-    }
-    if (worst != Shortage::kNoServer) {
-      worst = shortage;
-      this->NoteCrowded(part);
-    }
-  }
-  return served >= this->counts.needed ? Shortage::kNone : worst;
-}
-
 bool RelayRun::MayLaunch(const RelayPart& part) const {
   return !this->is_answered && !part.is_in &&
          part.arrivals < this->route.max_attempts && part.unsent < kMostUnsent;
@@ -158,19 +109,19 @@
 void RelayRun::LaunchOrWait(RelayPart& part, state::TimePoint now,
                             RelayEffects& effects) {
   const bool has_waited = std::exchange(part.is_waiting, false);
-  if (has_waited && this->IsTooLate(part, now)) {
-    this->NoteCrowded(part);
+  if (has_waited && this->room.IsTooLate(part, now)) {
+    this->room.NoteCrowded(part);
     return;
   }
   if (this->Launch(part, now, effects)) return;
   if (!this->MayLaunch(part) || part.arrivals > 0) return;
-  switch (this->ShortageOf(part, now)) {
+  switch (this->room.ShortageOf(part, now)) {
     case Shortage::kNone:
       part.is_waiting = true;
       effects.waits.push_back(part.service);
       break;
     case Shortage::kNoRoomInTime:
-      this->NoteCrowded(part);
+      this->room.NoteCrowded(part);
       break;
     case Shortage::kNoServer:
       break;
@@ -311,7 +262,7 @@
   for (RelayPart& part : this->parts.All()) {
     if (part.service != service) continue;
     part.is_waiting = false;
-    this->NoteCrowded(part);
+    this->room.NoteCrowded(part);
   }
   this->Evaluate(now, effects);
   this->SetWake(now, effects);
@@ -378,10 +329,9 @@
         !part.failure->is_encoded) {
       this->AnswerReply(*part.failure, effects);
     } else {
-      const bool is_crowded = this->crowded_wait.wait.count() > 0;
       this->Fail(state::RelayOutcome::kFailed,
-                 is_crowded ? "no_room_in_time" : "servers_failed", now,
-                 effects);
+                 this->room.IsCrowded() ? "no_room_in_time" : "servers_failed",
+                 now, effects);
     }
   } else if (now >= this->times.end) {
     this->Fail(state::RelayOutcome::kTimedOut, "deadline", now, effects);
@@ -415,8 +365,7 @@
   answer.outcome = may_have_run ? if_run : state::RelayOutcome::kNotRun;
   answer.reason = reason;
   if (!may_have_run) {
-    answer.retry_after = this->policies.returns.ReturnAfter(
-        this->crowded_service, this->crowded_wait, now);
+    answer.retry_after = this->room.ReturnAfter(now);
   }
   effects.answer = std::move(answer);
   // What servers still do for it is of no use to anyone.
--- a/src/coordination/routing/tracked_server.cc
+++ b/src/coordination/routing/tracked_server.cc
@@ -37,11 +37,6 @@
 constexpr state::Duration kLongestCheckDelay = state::Milliseconds(800);
 constexpr unsigned kMostDoublings = 6;
 
-state::Duration FromMilliseconds(double milliseconds) {
-  return std::chrono::duration_cast<state::Duration>(
-      std::chrono::duration<double, std::milli>(milliseconds));
-}
-
 }  // namespace
 
 TrackedServer::TrackedServer(state::RegisteredServer record,
@@ -139,9 +134,9 @@
 }
 
 bool TrackedServer::IsSilenceLocked(state::Duration unanswered) const {
-  return unanswered >
-         std::max(FromMilliseconds(this->reply_ms * kSilenceFactor),
-                  kLeastSilence);
+  return unanswered > std::max(state::FromFractionalMilliseconds(
+                                   this->reply_ms * kSilenceFactor),
+                               kLeastSilence);
 }
 
 state::Duration TrackedServer::SilenceLocked(state::TimePoint now) const {
@@ -160,7 +155,7 @@
 
 state::Duration TrackedServer::UsualReply(state::TimePoint now) const {
   const std::lock_guard<std::mutex> lock(this->mutex);
-  return FromMilliseconds(this->UsualMsLocked(now));
+  return state::FromFractionalMilliseconds(this->UsualMsLocked(now));
 }
 
 std::optional<state::Duration> TrackedServer::Cost(state::TimePoint now) const {
@@ -181,7 +176,7 @@
   const double cost_ms = this->UsualMsLocked(now) * (1 + busy) *
                          (1 + kFailureFactor * this->failure_share);
   const bool is_connected = now - this->replied_at < kConnectionLifetime;
-  return FromMilliseconds(cost_ms) +
+  return state::FromFractionalMilliseconds(cost_ms) +
          (is_connected ? state::Duration(0) : kNewConnectionCost) +
          this->SilenceLocked(now);
 }
@@ -228,7 +223,8 @@
       break;
     case AttemptEnd::kErred:
     case AttemptEnd::kRefused:
-      this->CountReplyLocked(FromMilliseconds(this->reply_ms), true);
+      this->CountReplyLocked(state::FromFractionalMilliseconds(this->reply_ms),
+                             true);
       break;
     case AttemptEnd::kBroken:
       this->doubt = ServerDoubt::kBroken;
--- a/test/platform/edge/server_stand_in.cc
+++ b/test/platform/edge/server_stand_in.cc
@@ -75,7 +75,7 @@
   response.headers = {{wire::kServerId, this->id},
                       {wire::kRequestId, request_id},
                       {wire::kSignature, this->id + "/" + request_id}};
-  response.body = request_id + this->body;
+  response.body = status == kHttpOk ? request_id + this->body : "failed";
   return response;
 }
 
