--- a/ctl/log_line.cc
+++ b/ctl/log_line.cc
@@ -1,5 +1,6 @@
 #include "log_line.h"
 
+#include <algorithm>
 #include <array>
 #include <boost/date_time/posix_time/posix_time.hpp>
 #include <exception>
@@ -64,13 +65,15 @@
 std::string ToText(const LogLine& line) {
   std::string text = line.time + " " + line.host + " " + line.name;
   for (const auto& [field, value] : line.fields.items()) {
-    bool is_shown = false;
-    for (const std::string_view other : kShownElsewhere) {
-      is_shown = is_shown || field == other;
-    }
+    const bool is_shown =
+        std::find(kShownElsewhere.begin(), kShownElsewhere.end(), field) !=
+        kShownElsewhere.end();
     const std::string value_text = TextOf(value);
-    if (!is_shown && !value_text.empty())
-      text += " " + field + "=" + value_text;
+    if (is_shown || value_text.empty()) continue;
+    text += ' ';
+    text += field;
+    text += '=';
+    text += value_text;
   }
   return text;
 }
--- a/ctl/request_story.cc
+++ b/ctl/request_story.cc
@@ -6,6 +6,9 @@
 #include <set>
 #include <sstream>
 
+#include "banyanknot/state/routing/relay_outcome.h"
+#include "banyanknot/state/routing/relay_reason.h"
+
 namespace banyanknot::ctl {
 namespace {
 
@@ -14,41 +17,57 @@
 constexpr std::int64_t kBeforeMs = 10'000;
 constexpr std::int64_t kAfterMs = 2'000;
 
-/// What an outcome, or a reason, means.
-struct Reading {
-  std::string_view said;
-  std::string_view meaning;
+using state::RelayOutcome;
+using state::RelayReason;
+
+/// What a reason, or an outcome without one, means.
+template <typename Enum>
+struct Meaning {
+  Enum value;
+  std::string_view text;
 };
 
-constexpr std::array<Reading, 10> kReadings{{
-    {"no_usable_server",
+constexpr std::array<Meaning<RelayReason>, 7> kReasonMeanings{{
+    {RelayReason::kNoUsableServer,
      "nothing was sent: too many of its services had no server that may get "
      "work"},
-    {"no_room_in_time",
+    {RelayReason::kNoRoomInTime,
      "nothing would have been served in time: all servers were taken and the "
      "line too long"},
-    {"floor_out_of_reach",
+    {RelayReason::kFloorOutOfReach,
      "so many shards failed that the least answer was out of reach"},
-    {"servers_gone",
+    {RelayReason::kServersGone,
      "the servers that it still waited for were found to be gone"},
-    {"servers_failed", "each server that might be asked failed or refused"},
-    {"deadline", "the deadline came before enough servers had answered"},
-    {"caller_left", "the caller closed its connection first"},
-    {"partial", "the objective came before the shards that are missing"},
-    {"not_configured", "the host had no routes yet"},
-    {"no_route", "no route of the version in force matched"},
+    {RelayReason::kServersFailed,
+     "each server that might be asked failed or refused"},
+    {RelayReason::kDeadline,
+     "the deadline came before enough servers had answered"},
+    {RelayReason::kCallerLeft, "the caller closed its connection first"},
 }};
 
-std::string ReadingOf(const LogLine& line) {
-  for (const Reading& reading : kReadings) {
-    if (line.Field("reason") == reading.said ||
-        line.Field("outcome") == reading.said) {
-      return std::string(reading.said) + ": " + std::string(reading.meaning);
-    }
+constexpr std::array<Meaning<RelayOutcome>, 3> kOutcomeMeanings{{
+    {RelayOutcome::kPartial,
+     "the objective came before the shards that are missing"},
+    {RelayOutcome::kNotConfigured, "the host had no routes yet"},
+    {RelayOutcome::kNoRoute, "no route of the version in force matched"},
+}};
+
+template <typename Enum, std::size_t kSize>
+std::string MeaningOf(const std::array<Meaning<Enum>, kSize>& meanings,
+                      const std::string& name) {
+  for (const Meaning<Enum>& meaning : meanings) {
+    if (NameOf(meaning.value) != name) continue;
+    return name + ": " + std::string(meaning.text);
   }
   return "";
 }
 
+std::string ReadingOf(const LogLine& line) {
+  const std::string reading = MeaningOf(kReasonMeanings, line.Field("reason"));
+  return reading.empty() ? MeaningOf(kOutcomeMeanings, line.Field("outcome"))
+                         : reading;
+}
+
 /// The services and servers that a request lists as missing.
 std::set<std::string> MissingNames(const LogLine& line) {
   std::string text = line.Field("missing");
--- a/ctl/timeline_command.cc
+++ b/ctl/timeline_command.cc
@@ -75,8 +75,10 @@
     if (this->options.as_json) {
       PrintJson(beliefs[first], out);
     } else {
-      while (next < beliefs.size() && IsOneStep(beliefs[first], beliefs[next]))
+      while (next < beliefs.size() &&
+             IsOneStep(beliefs[first], beliefs[next])) {
         ++next;
+      }
       PrintText(beliefs[first], next - first - 1, out);
     }
     first = next;
--- a/include/banyanknot/coordination/routing/relay_answer.h
+++ b/include/banyanknot/coordination/routing/relay_answer.h
@@ -7,6 +7,7 @@
 
 #include "banyanknot/coordination/routing/relay_client.h"
 #include "banyanknot/state/routing/relay_outcome.h"
+#include "banyanknot/state/routing/relay_reason.h"
 
 namespace banyanknot::coordination {
 
@@ -18,7 +19,7 @@
   std::vector<std::string> signatures;  ///< of the parts that were merged
   std::size_t missing = 0;              ///< shards that were left out
   state::Duration retry_after{0};       ///< of kNotRun and kNotConfigured
-  const char* reason = "";              ///< for the log
+  state::RelayReason reason = state::RelayReason::kNone;  ///< for the log
 };
 
 }  // namespace banyanknot::coordination
--- a/include/banyanknot/coordination/routing/relay_run.h
+++ b/include/banyanknot/coordination/routing/relay_run.h
@@ -82,7 +82,7 @@
   void EndIfHopeless(state::TimePoint now, RelayEffects& effects);
   void AnswerMerged(RelayEffects& effects);
   void AnswerReply(RelayReply reply, RelayEffects& effects);
-  void Fail(state::RelayOutcome if_run, const char* reason,
+  void Fail(state::RelayOutcome if_run, state::RelayReason reason,
             state::TimePoint now, RelayEffects& effects);
   void SetWake(state::TimePoint now, RelayEffects& effects);
 
--- /dev/null
+++ b/include/banyanknot/state/routing/relay_reason.h
@@ -0,0 +1,42 @@
+#ifndef BANYANKNOT_STATE_ROUTING_RELAY_REASON_H_
+#define BANYANKNOT_STATE_ROUTING_RELAY_REASON_H_
+
+#include <array>
+#include <string_view>
+
+#include "banyanknot/state/enum_names.h"
+
+namespace banyanknot::state {
+
+/// \brief Why a relayed or gathered request got no server's reply.
+enum class RelayReason {
+  kNone,
+  kNoUsableServer,   ///< too few servers may get work
+  kNoRoomInTime,     ///< all servers are taken, and the line is too long
+  kFloorOutOfReach,  ///< too many shards failed
+  kServersGone,      ///< the servers that it still waited for seem gone
+  kServersFailed,    ///< each server that might be asked failed or refused
+  kDeadline,         ///< the deadline came first
+  kCallerLeft,       ///< the caller closed its connection
+};
+
+/// \brief Names of RelayReason, as they stand in logs.
+inline constexpr std::array<EnumName<RelayReason>, 8> kRelayReasonNames{{
+    {RelayReason::kNone, ""},
+    {RelayReason::kNoUsableServer, "no_usable_server"},
+    {RelayReason::kNoRoomInTime, "no_room_in_time"},
+    {RelayReason::kFloorOutOfReach, "floor_out_of_reach"},
+    {RelayReason::kServersGone, "servers_gone"},
+    {RelayReason::kServersFailed, "servers_failed"},
+    {RelayReason::kDeadline, "deadline"},
+    {RelayReason::kCallerLeft, "caller_left"},
+}};
+
+/// \brief Returns the name of a RelayReason.
+constexpr std::string_view NameOf(RelayReason value) {
+  return FindName(kRelayReasonNames, value);
+}
+
+}  // namespace banyanknot::state
+
+#endif  // BANYANKNOT_STATE_ROUTING_RELAY_REASON_H_
--- a/src/coordination/routing/relay_run.cc
+++ b/src/coordination/routing/relay_run.cc
@@ -14,8 +14,9 @@
 /// A hedge that finds no room or budget is tried again after this: about one
 /// request's time at a server.
 constexpr state::Duration kHedgeRetry = state::Milliseconds(15);
-/// Time from one look at a late gather's servers to the next; short against the
-/// time that a caller waits, and no two checks of a server come closer.
+/// Time from one look at a late gather's servers to the next: twice the
+/// shortest time between two checks of a server, which change what the look
+/// finds.
 constexpr state::Duration kHopeInterval = state::Milliseconds(40);
 /// Rounding of a share of shards that is given in decimals.
 constexpr double kShareEpsilon = 1e-9;
@@ -60,8 +61,9 @@
       this->room.FloorShortage(this->parts, this->counts.needed, now);
   if (shortage != Shortage::kNone) {
     this->Fail(state::RelayOutcome::kNotRun,
-               shortage == Shortage::kNoServer ? "no_usable_server"
-                                               : "no_room_in_time",
+               shortage == Shortage::kNoServer
+                   ? state::RelayReason::kNoUsableServer
+                   : state::RelayReason::kNoRoomInTime,
                now, effects);
     return effects;
   }
@@ -275,7 +277,7 @@
     this->is_answered = true;
     RelayAnswer answer;
     answer.outcome = state::RelayOutcome::kAbandoned;
-    answer.reason = "caller_left";
+    answer.reason = state::RelayReason::kCallerLeft;
     effects.answer = answer;
   }
   this->parts.EndAll(AttemptEnd::kWithdrawn, now, effects);
@@ -298,10 +300,11 @@
   if (is_enough && (pending == 0 || now >= this->times.due)) {
     this->AnswerMerged(effects);
   } else if (parts_in + pending < this->counts.needed) {
-    this->Fail(state::RelayOutcome::kFailed, "floor_out_of_reach", now,
-               effects);
+    this->Fail(state::RelayOutcome::kFailed,
+               state::RelayReason::kFloorOutOfReach, now, effects);
   } else if (now >= this->times.end) {
-    this->Fail(state::RelayOutcome::kTimedOut, "deadline", now, effects);
+    this->Fail(state::RelayOutcome::kTimedOut, state::RelayReason::kDeadline,
+               now, effects);
   }
 }
 
@@ -317,7 +320,8 @@
     if (has_other || !this->parts.WaitsInVain(part)) ++reachable;
   }
   if (reachable >= this->counts.needed) return;
-  this->Fail(state::RelayOutcome::kFailed, "servers_gone", now, effects);
+  this->Fail(state::RelayOutcome::kFailed, state::RelayReason::kServersGone,
+             now, effects);
 }
 
 void RelayRun::EvaluateRelay(state::TimePoint now, RelayEffects& effects) {
@@ -330,11 +334,13 @@
       this->AnswerReply(*part.failure, effects);
     } else {
       this->Fail(state::RelayOutcome::kFailed,
-                 this->room.IsCrowded() ? "no_room_in_time" : "servers_failed",
+                 this->room.IsCrowded() ? state::RelayReason::kNoRoomInTime
+                                        : state::RelayReason::kServersFailed,
                  now, effects);
     }
   } else if (now >= this->times.end) {
-    this->Fail(state::RelayOutcome::kTimedOut, "deadline", now, effects);
+    this->Fail(state::RelayOutcome::kTimedOut, state::RelayReason::kDeadline,
+               now, effects);
   }
 }
 
@@ -357,7 +363,7 @@
   effects.answer = std::move(answer);
 }
 
-void RelayRun::Fail(state::RelayOutcome if_run, const char* reason,
+void RelayRun::Fail(state::RelayOutcome if_run, state::RelayReason reason,
                     state::TimePoint now, RelayEffects& effects) {
   this->is_answered = true;
   const bool may_have_run = this->parts.MayHaveRun();
