--- a/include/banyanknot/transport/peer_tcp_link.h
+++ b/include/banyanknot/transport/peer_tcp_link.h
@@ -58,7 +58,7 @@
   /// \param handler takes what other hosts send; called on any thread
   PeerTcpLink(boost::asio::io_context& context,
               const state::HostIdentity& identity,
-              coordination::PeerHandler& handler, PeerLinkLimits limits);
+              coordination::PeerHandler& handler, const PeerLinkLimits& limits);
   ~PeerTcpLink() override;
 
   /// \brief Starts to take connections; port 0 takes any free port.
--- a/src/transport/peer_tcp_link.cc
+++ b/src/transport/peer_tcp_link.cc
@@ -122,7 +122,7 @@
 PeerTcpLink::PeerTcpLink(asio::io_context& context,
                          const state::HostIdentity& identity,
                          coordination::PeerHandler& handler,
-                         PeerLinkLimits limits)
+                         const PeerLinkLimits& limits)
     : impl(std::make_shared<Impl>(context, identity, handler, limits)) {}
 
 PeerTcpLink::~PeerTcpLink() { this->Shutdown(); }
