Call what exists already: event names, waits in tests, tables of pages

The readers of logs had written the names of events anew; they ask the table of EventCode. check_metrics.py had copied the second half of check_events.py; both call page_table.py. The edge tests had a copy of the integration tests' WaitUntil; both use test/support.

--- a/ctl/banyanknotctl_main.cc
+++ b/ctl/banyanknotctl_main.cc
@@ -16,7 +16,9 @@
   const banyanknot::protocol::CatalogueCodec codec;
   banyanknot::ctl::HttpHostClient client;
   gflags::SetVersionString(BANYANKNOT_VERSION);
-  gflags::SetUsageMessage("banyanknotctl COMMAND ARGUMENTS");
+  // The help lists the commands; what they do with logs, the flags tell.
+  gflags::SetUsageMessage(
+      banyanknot::ctl::CommandLine(codec, client, {}).Help());
   gflags::ParseCommandLineFlags(&argc, &argv, true);
   banyanknot::ctl::CommandLine commands(codec, client,
                                         {FLAGS_json, FLAGS_from, FLAGS_until});
--- a/ctl/belief.cc
+++ b/ctl/belief.cc
@@ -2,48 +2,49 @@
 
 #include <algorithm>
 #include <map>
-#include <optional>
 #include <string_view>
 
 namespace banyanknot::ctl {
 namespace {
 
+using coordination::EventCode;
+
 /// Longest time between two hosts that say the same: what is in force must be
 /// so everywhere within 6 s.
 constexpr std::int64_t kTogetherMs = 6'000;
 
 /// An event that changes a belief, and the fields that say about what.
 struct BeliefRow {
-  std::string_view event;
+  EventCode event;
   BeliefScope scope;
   std::array<std::string_view, 4> subject;
 };
 
 constexpr std::array<BeliefRow, 16> kBeliefRows{{
-    {"routes_in_force", BeliefScope::kFleet, {"version"}},
-    {"domain_state",
+    {EventCode::kRoutesInForce, BeliefScope::kFleet, {"version"}},
+    {EventCode::kDomainState,
      BeliefScope::kFleet,
      {"subject", "detail", "domain", "state"}},
-    {"entry_accepted", BeliefScope::kFleet, {"subject", "revision"}},
-    {"entry_deleted", BeliefScope::kFleet, {"subject", "revision"}},
-    {"server_removed", BeliefScope::kFleet, {"server", "service"}},
-    {"server_doubted", BeliefScope::kHost, {"server", "doubt"}},
-    {"server_phase", BeliefScope::kHost, {"subject", "detail"}},
-    {"host_state", BeliefScope::kHost, {"subject", "detail"}},
-    {"source_lost", BeliefScope::kHost, {"failure"}},
-    {"source_regained", BeliefScope::kHost, {}},
-    {"reach_lost", BeliefScope::kHost, {}},
-    {"reach_regained", BeliefScope::kHost, {}},
-    {"host_starting", BeliefScope::kHost, {}},
-    {"host_ready", BeliefScope::kHost, {}},
-    {"host_stopping", BeliefScope::kHost, {}},
-    {"host_stopped", BeliefScope::kHost, {}},
+    {EventCode::kEntryAccepted, BeliefScope::kFleet, {"subject", "revision"}},
+    {EventCode::kEntryDeleted, BeliefScope::kFleet, {"subject", "revision"}},
+    {EventCode::kServerRemoved, BeliefScope::kFleet, {"server", "service"}},
+    {EventCode::kServerDoubted, BeliefScope::kHost, {"server", "doubt"}},
+    {EventCode::kServerPhase, BeliefScope::kHost, {"subject", "detail"}},
+    {EventCode::kHostState, BeliefScope::kHost, {"subject", "detail"}},
+    {EventCode::kSourceLost, BeliefScope::kHost, {"failure"}},
+    {EventCode::kSourceRegained, BeliefScope::kHost, {}},
+    {EventCode::kReachLost, BeliefScope::kHost, {}},
+    {EventCode::kReachRegained, BeliefScope::kHost, {}},
+    {EventCode::kHostStarting, BeliefScope::kHost, {}},
+    {EventCode::kHostReady, BeliefScope::kHost, {}},
+    {EventCode::kHostStopping, BeliefScope::kHost, {}},
+    {EventCode::kHostStopped, BeliefScope::kHost, {}},
 }};
 
 const BeliefRow* FindRow(const LogLine& line) {
   const auto found = std::find_if(
       kBeliefRows.begin(), kBeliefRows.end(),
-      [&line](const BeliefRow& row) { return row.event == line.name; });
+      [&line](const BeliefRow& row) { return line.Is(row.event); });
   return found == kBeliefRows.end() ? nullptr : &*found;
 }
 
@@ -64,7 +65,7 @@
   explicit Lifetimes(const std::vector<LogLine>& lines) {
     for (const LogLine& line : lines) {
       std::vector<Span>& spans = this->spans[line.host];
-      if (spans.empty() || line.name == "host_starting") {
+      if (spans.empty() || line.Is(EventCode::kHostStarting)) {
         spans.push_back({line.unix_ms, line.unix_ms});
       }
       spans.back().last_ms = line.unix_ms;
--- a/ctl/log_files.cc
+++ b/ctl/log_files.cc
@@ -8,19 +8,20 @@
 namespace banyanknot::ctl {
 namespace {
 
-const char* const kStartEvent = "host_starting";
+constexpr coordination::EventCode kStart =
+    coordination::EventCode::kHostStarting;
 
 /// Names the host of lines that say nothing of it: a host names itself when it
 /// starts.
 void NameHosts(const std::string& file, std::vector<LogLine>& lines) {
   std::string host = std::filesystem::path(file).filename().string();
   for (const LogLine& line : lines) {
-    if (line.name != kStartEvent) continue;
+    if (!line.Is(kStart)) continue;
     host = line.Field("host");
     break;
   }
   for (LogLine& line : lines) {
-    if (line.name == kStartEvent) host = line.Field("host");
+    if (line.Is(kStart)) host = line.Field("host");
     if (line.host.empty()) line.host = host;
   }
 }
--- a/ctl/log_line.cc
+++ b/ctl/log_line.cc
@@ -34,6 +34,10 @@
   return found == this->fields.end() ? "" : TextOf(*found);
 }
 
+bool LogLine::Is(coordination::EventCode event) const {
+  return this->name == coordination::DescriptionOf(event).name;
+}
+
 std::optional<std::int64_t> ParseTime(const std::string& text) {
   if (text.empty() || text.back() != 'Z') return std::nullopt;
   try {
--- a/ctl/log_line.h
+++ b/ctl/log_line.h
@@ -7,6 +7,8 @@
 #include <string>
 #include <string_view>
 
+#include "banyanknot/coordination/event_code.h"
+
 namespace banyanknot::ctl {
 
 /// \brief One line of a host's log, as `log_format` json writes it.
@@ -19,6 +21,7 @@
 
   /// \returns empty if the line has no such field
   std::string Field(std::string_view field) const;
+  bool Is(coordination::EventCode event) const;
 };
 
 /// \brief Reads one line; what a collector puts before the object is passed
--- a/ctl/request_story.cc
+++ b/ctl/request_story.cc
@@ -17,6 +17,7 @@
 constexpr std::int64_t kBeforeMs = 10'000;
 constexpr std::int64_t kAfterMs = 2'000;
 
+using coordination::EventCode;
 using state::RelayOutcome;
 using state::RelayReason;
 
@@ -82,13 +83,16 @@
 
 /// What a host believes of itself until it says something else.
 bool IsStanding(const LogLine& line) {
-  static const std::set<std::string> kNames = {
-      "routes_in_force", "source_lost",   "source_regained", "reach_lost",
-      "reach_regained",  "host_starting", "host_ready",      "host_stopping"};
-  return kNames.count(line.name) > 0;
+  constexpr std::array<EventCode, 8> kEvents = {
+      EventCode::kRoutesInForce,  EventCode::kSourceLost,
+      EventCode::kSourceRegained, EventCode::kReachLost,
+      EventCode::kReachRegained,  EventCode::kHostStarting,
+      EventCode::kHostReady,      EventCode::kHostStopping};
+  return std::any_of(kEvents.begin(), kEvents.end(),
+                     [&line](EventCode event) { return line.Is(event); });
 }
 
-/// The word before the last underscore: what lost and regained share.
+/// The first word of an event's name: what lost and regained share.
 std::string MatterOf(const LogLine& line) {
   return line.name.substr(0, line.name.find('_'));
 }
@@ -133,7 +137,7 @@
     for (std::size_t index = 0; index < own; ++index) {
       const LogLine& line = this->lines[index];
       if (line.host != this->lines[own].host) continue;
-      if (line.name == "domain_state") {
+      if (line.Is(EventCode::kDomainState)) {
         last["domain " + line.Field("subject") + line.Field("domain")] = index;
       } else if (IsStanding(line)) {
         last[MatterOf(line)] = index;
--- a/src/coordination/routing/relay_parts.cc
+++ b/src/coordination/routing/relay_parts.cc
@@ -77,7 +77,8 @@
 
 bool RelayParts::WaitsInVain(const RelayPart& part) const {
   if (part.is_waiting || part.open == 0) return false;
-  const std::size_t index = static_cast<std::size_t>(&part - parts.data());
+  const std::size_t index =
+      static_cast<std::size_t>(&part - this->parts.data());
   return std::all_of(this->attempts.begin(), this->attempts.end(),
                      [index](const Attempt& attempt) {
                        return attempt.part != index || !attempt.is_open ||
--- a/test/integration/loaded_deployment.cc
+++ b/test/integration/loaded_deployment.cc
@@ -1,15 +1,12 @@
 #include "integration/loaded_deployment.h"
 
 #include <catch2/catch.hpp>
-#include <chrono>
-#include <thread>
 
 namespace banyanknot::integration {
 namespace {
 
 constexpr std::uint64_t kRate = 120;
 constexpr state::Duration kAnswersBound = state::Milliseconds(30'000);
-constexpr std::chrono::milliseconds kPoll(20);
 
 std::vector<state::Endpoint> StartAndList(standins::Deployment& deployment) {
   const std::string error = deployment.Start();
@@ -20,16 +17,6 @@
 
 }  // namespace
 
-bool WaitUntil(const std::function<bool()>& condition, state::Duration bound) {
-  const std::chrono::steady_clock::time_point deadline =
-      std::chrono::steady_clock::now() + bound;
-  while (!condition()) {
-    if (std::chrono::steady_clock::now() >= deadline) return false;
-    std::this_thread::sleep_for(kPoll);
-  }
-  return true;
-}
-
 standins::PlanShape LoadedDeployment::DefaultShape() {
   standins::PlanShape shape;
   shape.program_folder = BANYANKNOT_PROGRAM_FOLDER;
--- a/test/integration/loaded_deployment.h
+++ b/test/integration/loaded_deployment.h
@@ -1,12 +1,12 @@
 #ifndef BANYANKNOT_TEST_INTEGRATION_LOADED_DEPLOYMENT_H_
 #define BANYANKNOT_TEST_INTEGRATION_LOADED_DEPLOYMENT_H_
 
-#include <functional>
 #include <string>
 
 #include "deployment.h"
 #include "load_generator.h"
 #include "plan_shape.h"
+#include "support/wait_until.h"
 
 namespace banyanknot::integration {
 
@@ -44,9 +44,7 @@
   standins::LoadGenerator load;
 };
 
-/// \brief Asks again and again until `condition` holds.
-/// \returns false if it does not within `bound`
-bool WaitUntil(const std::function<bool()>& condition, state::Duration bound);
+using testing::WaitUntil;
 
 }  // namespace banyanknot::integration
 
--- a/test/platform/edge/edge_world.cc
+++ b/test/platform/edge/edge_world.cc
@@ -1,20 +1,17 @@
 #include "platform/edge/edge_world.h"
 
-#include <array>
-#include <chrono>
 #include <fstream>
-#include <thread>
 #include <utility>
 
 #include "platform/wire_names.h"
+#include "support/wait_until.h"
 
 namespace banyanknot::platform::edge_testing {
 namespace {
 
 using nlohmann::json;
 
-constexpr std::chrono::seconds kPatience(20);
-constexpr std::chrono::milliseconds kPoll(10);
+constexpr state::Duration kPatience = state::Milliseconds(20'000);
 constexpr state::Duration kCallTimeout = state::Milliseconds(2'000);
 
 json RouteJson(const char* name, const char* prefix, const char* type) {
@@ -34,13 +31,7 @@
 }  // namespace
 
 bool WaitFor(const std::function<bool()>& condition) {
-  const std::chrono::steady_clock::time_point deadline =
-      std::chrono::steady_clock::now() + kPatience;
-  while (!condition()) {
-    if (std::chrono::steady_clock::now() >= deadline) return false;
-    std::this_thread::sleep_for(kPoll);
-  }
-  return true;
+  return testing::WaitUntil(condition, kPatience);
 }
 
 EdgeProcess::EdgeProcess(const std::string& id, const std::string& domain,
--- a/tools/check_metrics.py
+++ b/tools/check_metrics.py
@@ -5,6 +5,8 @@
 import re
 import sys
 
+import page_table
+
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 PAGE = ROOT / "docs/METRICS.md"
 METRIC = re.compile(r'"(banyanknot_\w+)"[^";]*((?:"[^"]*"\s*)+)')
@@ -32,18 +34,5 @@
     return "\n".join(lines) + "\n"
 
 
-def main():
-    page = PAGE.read_text(encoding="utf-8")
-    start = page.index("| metric |")
-    end = page.index("\n\n", start) + 1 if "\n\n" in page[start:] else len(page)
-    if "--write" in sys.argv:
-        PAGE.write_text(page[:start] + table() + page[end:], encoding="utf-8")
-        return 0
-    if page[start:end] != table():
-        print("docs/METRICS.md differs: tools/check_metrics.py --write",
-              file=sys.stderr)
-        return 1
-    return 0
-
-
-sys.exit(main())
+sys.exit(page_table.check_or_write(PAGE, "| metric |", table(),
+                                   "tools/check_metrics.py"))
