Refuse odd entries alone and outlive exceptions in handlers

Cause: DecodeServer converted any JSON number without a bound (undefined beyond the target's range), took port 0 and 999.1.1.1 as addresses, and ids with control characters went into a header of each request. A page whose last item has no readable key ended the process: json::value() throws, and nothing caught it. The key of the next page went into the request target unencoded.

Change: bounds by field; an odd entry of a server is unreadable by itself and what was believed of the server stays; limits that operators set too high count as the highest. Paging goes past keyless items and gives up where it can't advance. IoThreads reports an exception (event 1008 handler_failed) and goes on.

Ruled out: refusing a whole route table for one huge limit, which would leave operators with the old routes.

Seen on the code before, same tests: the process aborts (json.exception.type_error.306) on the first keyless last item.

--- a/daemons/host_application.cc
+++ b/daemons/host_application.cc
@@ -13,6 +13,7 @@
 #include "banyanknot/Protocol"
 #include "banyanknot/Transport"
 #include "draw_seed.h"
+#include "failure_logger.h"
 #include "fleet_parts.h"
 #include "host_policies.h"
 #include "host_service.h"
@@ -78,7 +79,7 @@
         log(wall_clock, settings.log_severity,
             LineEncoderFor(settings.log_format), std::clog),
         audit(kMaxAuditEvents, wall_clock, log),
-        threads(settings.threads),
+        threads(settings.threads, MakeFailureLogger(log)),
         timers(threads.Context()),
         random(origin),
         peer_link(threads.Context(), identity, peer_router,
--- a/include/banyanknot/coordination/event_code.h
+++ b/include/banyanknot/coordination/event_code.h
@@ -20,6 +20,7 @@
   kHostStopped = 1005,
   kHostStopForced = 1006,
   kListenFailed = 1007,
+  kHandlerFailed = 1008,
   kEntryAccepted = 2001,
   kEntryRefused = 2002,
   kEntryDeleted = 2003,
@@ -53,7 +54,7 @@
 };
 
 /// \brief Every event, ordered by number.
-inline constexpr std::array<EventDescription, 29> kEventDescriptions{{
+inline constexpr std::array<EventDescription, 30> kEventDescriptions{{
     {EventCode::kHostStarting, "host_starting", LogSeverity::kInfo,
      "The process has read its settings and is starting."},
     {EventCode::kHostListening, "host_listening", LogSeverity::kInfo,
@@ -68,6 +69,8 @@
      "The shutdown ended with work left: timeout or second signal."},
     {EventCode::kListenFailed, "listen_failed", LogSeverity::kError,
      "Listening on a port failed; the process exits."},
+    {EventCode::kHandlerFailed, "handler_failed", LogSeverity::kError,
+     "An exception ended one event's handling; the process goes on."},
     {EventCode::kEntryAccepted, "entry_accepted", LogSeverity::kInfo,
      "A catalogue entry came into force on this host."},
     {EventCode::kEntryRefused, "entry_refused", LogSeverity::kWarning,
--- a/include/banyanknot/coordination/routing/routing_source.h
+++ b/include/banyanknot/coordination/routing/routing_source.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -29,6 +30,8 @@
 struct UnreadableEntry {
   std::string key;
   std::string reason;
+  /// Set if the key is that of a server, whose last readable entry holds.
+  std::optional<state::InstanceId> server;
 };
 
 /// \brief One change published by operators or servers.
--- a/include/banyanknot/transport/io_threads.h
+++ b/include/banyanknot/transport/io_threads.h
@@ -2,7 +2,9 @@
 #define BANYANKNOT_TRANSPORT_IO_THREADS_H_
 
 #include <cstddef>
+#include <functional>
 #include <memory>
+#include <string>
 
 namespace boost::asio {
 class io_context;
@@ -14,9 +16,14 @@
 /// kernel while idle.
 class IoThreads {
  public:
+  /// Told what an exception says that a handler let through. Called on any of
+  /// the threads; must not throw.
+  using FailureHandler = std::function<void(const std::string& what)>;
+
   /// \param count number of threads
+  /// \param on_failure empty to write to standard error
   /// \pre count > 0
-  explicit IoThreads(std::size_t count);
+  explicit IoThreads(std::size_t count, FailureHandler on_failure = {});
   /// \brief Stops and joins the threads; pending handlers are not run.
   ~IoThreads();
 
@@ -25,6 +32,10 @@
 
   boost::asio::io_context& Context();
 
+  /// \brief Returns the number of handlers that ended with an exception. Each
+  /// loses only its own work; the threads go on.
+  std::size_t FailedHandlers() const;
+
   /// \brief Stops and joins the threads. Idempotent.
   void Stop();
 
--- a/src/coordination/routing/routing_intake.cc
+++ b/src/coordination/routing/routing_intake.cc
@@ -42,6 +42,9 @@
     if (const state::RegisteredServer* server =
             std::get_if<state::RegisteredServer>(&change)) {
       present.insert(server->id);
+    } else if (const UnreadableEntry* entry =
+                   std::get_if<UnreadableEntry>(&change)) {
+      if (entry->server) present.insert(*entry->server);
     } else if (const DomainStateChange* domain_change =
                    std::get_if<DomainStateChange>(&change)) {
       out.insert(domain_change->domain);
@@ -71,6 +74,7 @@
     this->RemoveServer(removal->id, mode);
   } else if (const UnreadableEntry* entry =
                  std::get_if<UnreadableEntry>(&change)) {
+    if (entry->server) this->KeepServer(*entry->server);
     this->log.Write(EventCode::kSourceEntryUnreadable,
                     {{"key", entry->key}, {"reason", entry->reason}});
   }
@@ -98,11 +102,13 @@
                    {"servers", std::to_string(affected.size())}});
 }
 
+void RoutingIntake::KeepServer(const state::InstanceId& id) {
+  const std::lock_guard<std::mutex> lock(this->removals_mutex);
+  this->deferred_removals.erase(id);
+}
+
 void RoutingIntake::ApplyServer(const state::RegisteredServer& server) {
-  {
-    const std::lock_guard<std::mutex> lock(this->removals_mutex);
-    this->deferred_removals.erase(server.id);
-  }
+  this->KeepServer(server.id);
   const TrackedServerPtr replaced = this->servers.Put(server);
   if (replaced != nullptr) {
     this->client.CloseConnections(server.id, replaced->Record().endpoint);
--- a/test/coordination/routing/routing_intake_test.cc
+++ b/test/coordination/routing/routing_intake_test.cc
@@ -60,6 +60,29 @@
   CHECK(intake.fixture.Run("/relay/1").answer.outcome == RelayOutcome::kNotRun);
 }
 
+TEST_CASE("An unreadable entry of a server leaves what was believed of it") {
+  IntakeFixture intake;
+  const UnreadableEntry odd{"servers/s1", "Slots is invalid",
+                            state::InstanceId("s1")};
+  intake.fixture.Publish(odd);
+  CHECK(intake.RequestsAt("s1") > 0);
+  // Also in a snapshot, which removes what it doesn't contain.
+  RoutingBatch snapshot;
+  snapshot.changes = {odd, intake.fixture.Server("s2", "desk", "b")};
+  intake.fixture.intake.ApplyAll(snapshot, RemovalMode::kImmediate);
+  CHECK(intake.RequestsAt("s1") > 0);
+  CHECK(intake.fixture.log.Count(EventCode::kSourceEntryUnreadable) == 2);
+  // Its entry exists again, though unreadable, before the removal is due.
+  intake.fixture.Publish(ServerRemoval{state::InstanceId("s1")},
+                         RemovalMode::kDeferred);
+  intake.fixture.Publish(odd);
+  intake.fixture.time.Advance(Milliseconds(5'000));
+  CHECK(intake.RequestsAt("s1") > 0);
+  snapshot.changes = {intake.fixture.Server("s2", "desk", "b")};
+  intake.fixture.intake.ApplyAll(snapshot, RemovalMode::kImmediate);
+  CHECK(intake.RequestsAt("s1") == 0);
+}
+
 TEST_CASE("A restart under the same id counts as a new server") {
   IntakeFixture intake;
   state::RegisteredServer again = intake.fixture.Server("s1", "desk", "a");
--- a/test/platform/entry_decoder_test.cc
+++ b/test/platform/entry_decoder_test.cc
@@ -6,6 +6,7 @@
 #include <nlohmann/json.hpp>
 #include <string>
 #include <variant>
+#include <vector>
 
 namespace banyanknot::platform {
 namespace {
@@ -98,6 +99,98 @@
       DecodeRoutes(R"({"Version":"7"})")));
 }
 
+TEST_CASE("Entries with nonsensical values are unreadable") {
+  struct Row {
+    const char* member;
+    json value;
+  };
+  const std::vector<Row> rows = {
+      {"Slots", 1e300},
+      {"Slots", 2.5},
+      {"Slots", -1e300},
+      {"Slots", 18446744073709551615ULL},
+      {"WarmupLeftMs", 1e300},
+      {"WarmupLeftMs", 9e18},
+      {"WarmupLeftMs", -1},
+      {"WarmupLeftMs", -1e300},
+      {"born", 1e300},
+      {"born", -5},
+      {"born", 0.5},
+      {"Address", "10.0.0.9:0"},
+      {"Address", "10.0.0.9:65536"},
+      {"Address", "10.0.0.9:99999999999999999999"},
+      {"Address", "10.0.0.9:-1"},
+      {"Address", "999.1.1.1:80"},
+      {"Address", "0.0.0.0:80"},
+      {"Address", "host.example:80"},
+      {"Service", std::string(5'000, 's')},
+  };
+  const json valid_entry = json::parse(kServer);
+  for (const Row& row : rows) {
+    json entry = valid_entry;
+    entry[row.member] = row.value;
+    INFO(entry.dump());
+    const coordination::RoutingChange change =
+        DecodeServer("i-1", entry.dump());
+    const coordination::UnreadableEntry* unreadable =
+        std::get_if<coordination::UnreadableEntry>(&change);
+    REQUIRE(unreadable != nullptr);
+    REQUIRE(unreadable->server);
+    CHECK(unreadable->server->Text() == "i-1");
+  }
+}
+
+TEST_CASE("A deeply nested entry is unreadable") {
+  const std::string deep =
+      std::string(200'000, '[') + std::string(200'000, ']');
+  json entry = json::parse(kServer);
+  std::string text = entry.dump();
+  text.insert(text.size() - 1, ",\"Extra\":" + deep);
+  CHECK(std::holds_alternative<coordination::UnreadableEntry>(
+      DecodeServer("i-1", text)));
+  CHECK(std::holds_alternative<coordination::UnreadableEntry>(
+      DecodeRoutes(deep)));
+}
+
+TEST_CASE("A server id that can't stand in a header is refused") {
+  for (const std::string id :
+       {std::string(), std::string("a b"), std::string("a\r\nX: y"),
+        std::string("a\0b", 3), std::string("\xc3\xa9")}) {
+    CHECK(std::holds_alternative<coordination::UnreadableEntry>(
+        DecodeServer(id, kServer)));
+  }
+}
+
+TEST_CASE("Limits that operators set too high count as the highest") {
+  json document = json::parse(kRoutes);
+  document["Routes"][0]["TimeoutMs"] = 1e300;
+  document["Routes"][0]["Priority"] = 1e300;
+  document["Routes"][0]["MaxAttempts"] = 1e300;
+  document["Services"][0]["MaxConns"] = 1e300;
+  document["Services"][0]["WarmupS"] = 1e300;
+  document["Limits"]["IdleTimeoutMs"] = 1e300;
+  document["Limits"]["MaxBodyBytes"] = 1e300;
+  const coordination::RoutingChange change = DecodeRoutes(document.dump());
+  const state::RouteTablePtr* table =
+      std::get_if<state::RouteTablePtr>(&change);
+  REQUIRE(table != nullptr);
+  const state::Duration day = state::Milliseconds(86'400'000);
+  const state::Route& route = (*table)->Routes().front();
+  CHECK(route.timeout == day);
+  CHECK(route.priority == 1'000'000);
+  CHECK(route.max_attempts == 1'000'000);
+  const state::ServiceSpec* service =
+      (*table)->FindService(state::ServiceId("d"));
+  REQUIRE(service != nullptr);
+  CHECK(service->max_connections == 1'000'000);
+  CHECK(service->warm_up == day);
+  CHECK((*table)->Limits().idle_timeout == day);
+  CHECK((*table)->Limits().max_body_bytes == 1'000'000'000);
+  document["Routes"][0]["TimeoutMs"] = -1e300;
+  CHECK(std::holds_alternative<coordination::UnreadableEntry>(
+      DecodeRoutes(document.dump())));
+}
+
 TEST_CASE("DecodeItem classifies items and deletions by key") {
   const auto decode = [](const char* text) {
     return DecodeItem(json::parse(text));
--- a/test/platform/store_source_test.cc
+++ b/test/platform/store_source_test.cc
@@ -6,6 +6,7 @@
 #include <memory>
 #include <mutex>
 #include <string>
+#include <variant>
 #include <vector>
 
 #include "banyanknot/transport/http_server.h"
@@ -103,6 +104,56 @@
   CHECK(store.Targets().size() == 2);
 }
 
+TEST_CASE("ReadAll goes past items without a readable key") {
+  ScriptedStore store([](const std::string& target) {
+    if (target.find("after=") == std::string::npos) {
+      return Respond(200, R"({"items":[)"
+                          R"({"Key":"op/evacuate/a","Value":"e30="},)"
+                          R"({"Key":7,"Value":"e30="},[],null],)"
+                          R"("HasMore":true,"AsOf":7})");
+    }
+    return Respond(200, R"({"items":[null,)"
+                        R"({"Key":"op/evacuate/b","Value":"e30="}],)"
+                        R"("HasMore":false,"AsOf":7})");
+  });
+  const SourceResult result = store.ReadAll();
+  REQUIRE(state::IsOk(result));
+  std::size_t domains = 0;
+  for (const coordination::RoutingChange& change :
+       state::ValueOf(result).changes) {
+    if (std::holds_alternative<coordination::DomainStateChange>(change)) {
+      ++domains;
+    }
+  }
+  CHECK(domains == 2);
+  CHECK(store.Targets().back().find("after=op/evacuate/a") !=
+        std::string::npos);
+}
+
+TEST_CASE("ReadAll fails rather than read the same page for ever") {
+  for (const char* items :
+       {R"([null])", R"([{"Key":""}])", R"([{"Key":"a","Value":"e30="}])"}) {
+    ScriptedStore store([items](const std::string& /*target*/) {
+      return Respond(200, std::string(R"({"items":)") + items +
+                              R"(,"HasMore":true,"AsOf":7})");
+    });
+    CHECK_FALSE(state::IsOk(store.ReadAll()));
+    CHECK(store.Targets().size() <= 2);
+  }
+}
+
+TEST_CASE("ReadAll encodes the key of the next page") {
+  ScriptedStore store([](const std::string& target) {
+    const bool is_first = target.find("after=") == std::string::npos;
+    return Respond(200, std::string(R"({"items":[{"Key":"x y&z#\r\n%"}],)") +
+                            R"("HasMore":)" + (is_first ? "true" : "false") +
+                            R"(,"AsOf":7})");
+  });
+  REQUIRE(state::IsOk(store.ReadAll()));
+  CHECK(store.Targets().back().find("after=x%20y%26z%23%0D%0A%25") !=
+        std::string::npos);
+}
+
 TEST_CASE("Watch sends the revision and returns the changes after it") {
   ScriptedStore store([](const std::string& /*target*/) {
     return Respond(200, R"({"events":[{"Key":"servers/i-1","Revision":8,)"
