--- a/daemons/relay_application.cc
+++ b/daemons/relay_application.cc
@@ -14,6 +14,7 @@
 #include "banyanknot/Protocol"
 #include "banyanknot/Transport"
 #include "draw_seed.h"
+#include "failure_logger.h"
 #include "late_bound_readiness.h"
 #include "relay_front_service.h"
 #include "relay_host_metrics.h"
@@ -31,6 +32,8 @@
 constexpr std::size_t kMaxCallerConnections = 2'500;
 /// Time to read a body, added to the configured header timeout.
 constexpr state::Duration kBodyReadTimeout = state::Milliseconds(10'000);
+/// Share of the memory limit for replies that are still being received: 1/n.
+constexpr std::size_t kReceiveBudgetDivisor = 4;
 /// Interval of the check for a changed settings file.
 constexpr state::Duration kSettingsPollInterval = state::Milliseconds(5'000);
 
@@ -81,11 +84,13 @@
         log(wall_clock, settings.log_severity, protocol::EncodeJsonLogLine,
             std::cout),
         audit(kMaxAuditEvents, wall_clock, log),
-        threads(settings.threads),
+        threads(settings.threads, MakeFailureLogger(log)),
         timers(threads.Context()),
         random(DrawSeed()),
         servers(clock, settings.domain),
-        relay_client(threads.Context(), clock, codec),
+        receive_budget(std::make_shared<transport::ReceiveBudget>(
+            settings.memory_limit_bytes / kReceiveBudgetDivisor)),
+        relay_client(threads.Context(), clock, codec, receive_budget),
         health_checker(clock, timers, relay_client, routes, log),
         extra_request_budget(MakeExtraRequestLimits(settings)),
         hedge_delay(kHedgeQuantile),
@@ -104,7 +109,8 @@
         front_service(clock, codec, readiness, executor),
         caller_server(threads.Context(), front_service,
                       MakeHttpServerLimits({})),
-        host_metrics(log, readiness, routes, executor),
+        host_metrics(log, readiness, routes, executor, threads,
+                     *receive_budget),
         status_service(codec.ReadyPath(), readiness, {&journal, &host_metrics}),
         ready_server(threads.Context(), status_service, {}),
         metrics_server(threads.Context(), status_service, {}),
@@ -135,6 +141,7 @@
   coordination::SeededRandomSource random;
   coordination::RouteDirectory routes;
   coordination::ServerDirectory servers;
+  const std::shared_ptr<transport::ReceiveBudget> receive_budget;
   transport::RelayHttpClient relay_client;
   coordination::ServerHealthChecker health_checker;
   coordination::ExtraRequestBudget extra_request_budget;
--- a/daemons/relay_host_metrics.cc
+++ b/daemons/relay_host_metrics.cc
@@ -26,6 +26,21 @@
                      coordination::MetricKind::kCounter,
                      {},
                      static_cast<double>(this->log.Dropped())});
+  samples.push_back({"banyanknot_failed_handlers_total",
+                     "Events whose handling ended with an exception.",
+                     coordination::MetricKind::kCounter,
+                     {},
+                     static_cast<double>(this->threads.FailedHandlers())});
+  samples.push_back({"banyanknot_relay_receiving_bytes",
+                     "Bytes held for replies that are still being received.",
+                     coordination::MetricKind::kGauge,
+                     {},
+                     static_cast<double>(this->receive_budget.Reserved())});
+  samples.push_back({"banyanknot_relay_replies_cut_total",
+                     "Replies cut off because all together held too much.",
+                     coordination::MetricKind::kCounter,
+                     {},
+                     static_cast<double>(this->receive_budget.Refusals())});
 }
 
 }  // namespace banyanknot::daemons
--- a/daemons/relay_host_metrics.h
+++ b/daemons/relay_host_metrics.h
@@ -8,6 +8,8 @@
 #include "banyanknot/coordination/routing/relay_executor.h"
 #include "banyanknot/coordination/routing/route_directory.h"
 #include "banyanknot/transport/boost_event_log.h"
+#include "banyanknot/transport/io_threads.h"
+#include "banyanknot/transport/receive_budget.h"
 
 namespace banyanknot::daemons {
 
@@ -17,8 +19,15 @@
   RelayHostMetrics(const transport::BoostEventLog& log,
                    const coordination::Readiness& readiness,
                    const coordination::RouteDirectory& routes,
-                   const coordination::RelayExecutor& executor)
-      : log(log), readiness(readiness), routes(routes), executor(executor) {}
+                   const coordination::RelayExecutor& executor,
+                   const transport::IoThreads& threads,
+                   const transport::ReceiveBudget& receive_budget)
+      : log(log),
+        readiness(readiness),
+        routes(routes),
+        executor(executor),
+        threads(threads),
+        receive_budget(receive_budget) {}
 
   void CollectMetrics(
       std::vector<coordination::MetricSample>& samples) const override;
@@ -28,6 +37,8 @@
   const coordination::Readiness& readiness;
   const coordination::RouteDirectory& routes;
   const coordination::RelayExecutor& executor;
+  const transport::IoThreads& threads;
+  const transport::ReceiveBudget& receive_budget;
 };
 
 }  // namespace banyanknot::daemons
--- a/daemons/relay_settings.cc
+++ b/daemons/relay_settings.cc
@@ -10,6 +10,8 @@
 namespace {
 
 constexpr std::uint64_t kMaxThreads = 256;
+constexpr std::uint64_t kDefaultMemoryMb = 256;
+constexpr std::uint64_t kMaxMemoryMb = 1'000'000;
 
 state::Endpoint ReadEndpoint(protocol::JsonReader& reader, const char* member) {
   const std::string text = reader.String(member);
@@ -37,6 +39,8 @@
       reader.MillisecondsOr("leave_grace_ms", settings.leave_grace);
   settings.stop_timeout =
       reader.MillisecondsOr("stop_bound_ms", settings.stop_timeout);
+  settings.memory_limit_bytes = static_cast<std::size_t>(
+      reader.UnsignedOr("memory_mb", kDefaultMemoryMb, kMaxMemoryMb) << 20);
   settings.extra_request_share =
       reader.FractionOr("extra_request_share", settings.extra_request_share);
   settings.log_severity = state::FindValue(coordination::kLogSeverityNames,
--- a/daemons/relay_settings.h
+++ b/daemons/relay_settings.h
@@ -29,6 +29,8 @@
   /// every second and removes a host after two failed probes.
   state::Duration leave_grace = state::Milliseconds(2'600);
   state::Duration stop_timeout = state::Milliseconds(5'500);
+  /// Memory that the process may use; replies get a share of it.
+  std::size_t memory_limit_bytes = std::size_t{256} << 20;
   double extra_request_share = 0.17;
   coordination::LogSeverity log_severity = coordination::LogSeverity::kInfo;
 };
--- a/include/banyanknot/coordination/routing/relay_admission.h
+++ b/include/banyanknot/coordination/routing/relay_admission.h
@@ -1,6 +1,9 @@
 #ifndef BANYANKNOT_COORDINATION_ROUTING_RELAY_ADMISSION_H_
 #define BANYANKNOT_COORDINATION_ROUTING_RELAY_ADMISSION_H_
 
+#include <cstddef>
+#include <optional>
+
 #include "banyanknot/coordination/routing/relay_deadlines.h"
 #include "banyanknot/coordination/routing/relay_parts.h"
 #include "banyanknot/coordination/routing/relay_policies.h"
@@ -50,11 +53,20 @@
     return this->shortage_estimate.delay;
   }
 
-  /// \brief Returns the time after which a rejected caller should retry.
-  state::Duration RetryAfter(state::TimePoint now) const;
+  /// \brief Returns when a server of a part that can't be sent now ends its
+  /// back-off; nothing if the part doesn't depend on that.
+  std::optional<state::TimePoint> BackOffEnd(const RelayPart& part,
+                                             state::TimePoint now) const;
+
+  /// \brief Returns the time after which a rejected caller should retry: when
+  /// `min_parts` parts have a server again, and as the policy says.
+  state::Duration RetryAfter(const RelayParts& parts, std::size_t min_parts,
+                             state::TimePoint now) const;
 
  private:
   QueueingDelayEstimate EstimateDelayFor(const RelayPart& part) const;
+  state::Duration BackOffOf(const RelayParts& parts, std::size_t min_parts,
+                            state::TimePoint now) const;
 
   const RelayPolicies policies;
   const state::Route& route;
--- a/include/banyanknot/coordination/routing/relay_client.h
+++ b/include/banyanknot/coordination/routing/relay_client.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "banyanknot/coordination/routing/relay_failure.h"
+#include "banyanknot/coordination/routing/server_notice.h"
 #include "banyanknot/state/result.h"
 #include "banyanknot/state/routing/registered_server.h"
 #include "banyanknot/state/routing/relay_request.h"
@@ -33,6 +34,7 @@
   bool is_other_request = false;  ///< belongs to another request
   bool is_encoded = false;        ///< the body has a content encoding
   std::optional<ReportedLoad> load;
+  ServerNotice notice;
 
   /// \brief Returns true for a signed success that may be passed to callers.
   bool IsSuccess() const {
@@ -54,6 +56,10 @@
   std::shared_ptr<const state::RelayRequest> request;
   state::TimePoint deadline;  ///< sent to the server as time left
   bool is_idempotent = false;
+  std::size_t max_reply_bytes = 0;  ///< a longer body is cut off as a failure
+  /// Gets the notice of each reply before its handler runs; if it no longer
+  /// accepts requests, an unwritten one fails with kWithdrawn.
+  std::shared_ptr<ServerNoticeSink> notices;
 };
 
 /// \brief Handle of a request that was sent.
@@ -70,6 +76,16 @@
   state::InstanceId server;
   bool is_healthy = false;
   state::Duration cold_for{0};
+  ServerNotice notice;
+};
+
+/// \brief A health check to be sent to one server.
+struct HealthCheck {
+  state::InstanceId server;
+  state::Endpoint endpoint;
+  std::string path;
+  state::Duration timeout{0};
+  std::shared_ptr<ServerNoticeSink> notices;  ///< as in RelaySend
 };
 
 using ServerHealthHandler = std::function<void(std::optional<ServerHealth>)>;
@@ -84,10 +100,7 @@
                                           RelayHandler handler) = 0;
   /// \brief Sends a health check; the handler gets nothing if no reply comes
   /// within the timeout.
-  virtual void CheckHealth(const state::InstanceId& server,
-                           const state::Endpoint& endpoint,
-                           const std::string& path, state::Duration timeout,
-                           ServerHealthHandler handler) = 0;
+  virtual void CheckHealth(HealthCheck check, ServerHealthHandler handler) = 0;
   /// \brief Closes the connections to a removed server.
   virtual void CloseConnections(const state::InstanceId& server,
                                 const state::Endpoint& endpoint) = 0;
--- a/include/banyanknot/coordination/routing/relay_effects.h
+++ b/include/banyanknot/coordination/routing/relay_effects.h
@@ -17,11 +17,19 @@
   state::TimePoint deadline;
 };
 
+/// \brief A service whose capacity a part waits for.
+struct CapacityWait {
+  state::ServiceId service;
+  /// When a server's back-off ends; nothing if capacity is only freed by other
+  /// requests.
+  std::optional<state::TimePoint> retry_at;
+};
+
 /// \brief Side effects that a RelayRun requests from its executor.
 struct RelayEffects {
   std::vector<SendCommand> sends;
-  std::vector<std::uint32_t> cancellations;      ///< attempts
-  std::vector<state::ServiceId> capacity_waits;  ///< services to queue for
+  std::vector<std::uint32_t> cancellations;  ///< attempts
+  std::vector<CapacityWait> capacity_waits;
   std::vector<TrackedServerPtr> suspects;        ///< to be health-checked
   std::vector<state::ServiceId> freed_services;  ///< that may have capacity
   std::optional<RelayAnswer> answer;
--- a/include/banyanknot/coordination/routing/relay_executor.h
+++ b/include/banyanknot/coordination/routing/relay_executor.h
@@ -68,6 +68,8 @@
                     Event event);
   void ApplyEffects(std::uint64_t number, const std::shared_ptr<RelayRun>& run,
                     RelayEffects effects);
+  void Enqueue(std::uint64_t number, const RelayRun& run,
+               const CapacityWait& wait);
   void Send(std::uint64_t number, const RelayRun& run,
             const SendCommand& order);
   void CancelAttempt(std::uint64_t number, std::uint32_t attempt);
--- a/include/banyanknot/coordination/routing/relay_failure.h
+++ b/include/banyanknot/coordination/routing/relay_failure.h
@@ -10,19 +10,21 @@
 
 /// \brief Why an attempt at a server got no reply.
 enum class RelayFailure {
-  kNotSent,  ///< no byte written: the connection attempt failed
-  kLimit,    ///< no byte written: connection limit reached
-  kLost,     ///< the connection broke after the first byte
-  kTimeout,  ///< no reply in time
+  kNotSent,    ///< no byte written: the connection attempt failed
+  kLimit,      ///< no byte written: connection limit reached
+  kLost,       ///< the connection broke after the first byte
+  kTimeout,    ///< no reply in time
+  kWithdrawn,  ///< no byte written: the server wants no more requests
 };
 
 /// \brief Names of RelayFailure in messages and logs.
-inline constexpr std::array<state::EnumName<RelayFailure>, 4>
+inline constexpr std::array<state::EnumName<RelayFailure>, 5>
     kRelayFailureNames{{
         {RelayFailure::kNotSent, "not_sent"},
         {RelayFailure::kLimit, "limit"},
         {RelayFailure::kLost, "lost"},
         {RelayFailure::kTimeout, "timeout"},
+        {RelayFailure::kWithdrawn, "withdrawn"},
     }};
 
 /// \brief Returns the name of a RelayFailure.
--- a/include/banyanknot/coordination/routing/server_directory.h
+++ b/include/banyanknot/coordination/routing/server_directory.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "banyanknot/coordination/clock.h"
+#include "banyanknot/coordination/routing/departed_servers.h"
 #include "banyanknot/coordination/routing/server_picker.h"
 #include "banyanknot/state/routing/route_table.h"
 #include "banyanknot/state/sharded_table.h"
@@ -50,6 +51,10 @@
   bool HasUsableServer(const state::ServiceId& service,
                        const std::vector<state::InstanceId>& tried,
                        state::TimePoint now) const override;
+  std::optional<state::TimePoint> BackOffEnd(
+      const state::ServiceId& service,
+      const std::vector<state::InstanceId>& tried,
+      state::TimePoint now) const override;
   state::Duration TypicalReplyTime(const state::ServiceId& service,
                                    state::TimePoint now) const override;
   bool HasCapacity(const state::ServiceId& service,
@@ -75,6 +80,7 @@
   state::ShardedTable<state::InstanceId, TrackedServerPtr> by_id;
   state::ShardedTable<state::ServiceId, Pool> by_service;
   state::ShardedTable<state::ServiceId, std::size_t> connection_limits;
+  DepartedServers departed;
   mutable std::mutex domains_mutex;
   std::set<state::FailureDomainId> domains_out;
 };
--- a/include/banyanknot/coordination/routing/server_picker.h
+++ b/include/banyanknot/coordination/routing/server_picker.h
@@ -1,6 +1,7 @@
 #ifndef BANYANKNOT_COORDINATION_ROUTING_SERVER_PICKER_H_
 #define BANYANKNOT_COORDINATION_ROUTING_SERVER_PICKER_H_
 
+#include <optional>
 #include <vector>
 
 #include "banyanknot/coordination/routing/tracked_server.h"
@@ -25,6 +26,13 @@
                                const std::vector<state::InstanceId>& tried,
                                state::TimePoint now) const = 0;
 
+  /// \brief Returns when the first of the servers that asked for a back-off
+  /// accepts requests again; nothing if none is eligible then.
+  virtual std::optional<state::TimePoint> BackOffEnd(
+      const state::ServiceId& service,
+      const std::vector<state::InstanceId>& tried,
+      state::TimePoint now) const = 0;
+
   /// \brief Returns true if Pick() would find a server.
   virtual bool HasCapacity(const state::ServiceId& service,
                            const std::vector<state::InstanceId>& tried,
--- a/include/banyanknot/coordination/routing/tracked_server.h
+++ b/include/banyanknot/coordination/routing/tracked_server.h
@@ -28,7 +28,7 @@
 /// \brief One backend server and this host's observations of it.
 ///
 /// Thread-safe; each server has its own lock.
-class TrackedServer {
+class TrackedServer : public ServerNoticeSink {
  public:
   /// \param connection_limit concurrent requests of this host
   TrackedServer(state::RegisteredServer record, std::size_t connection_limit);
@@ -41,6 +41,15 @@
   void SetConnectionLimit(std::size_t limit);
   void SetDomainOut(bool is_out);
   void MarkLeaving();
+  /// \brief Returns true if the server, not only its entry, is known to leave.
+  bool IsLeaving() const;
+  void OnNotice(const ServerNotice& notice, state::TimePoint now) override;
+  bool AcceptsRequests(state::TimePoint now) const override;
+  /// \brief Returns when the server accepts requests again; nothing if
+  /// something else than its own back-off withholds them.
+  std::optional<state::TimePoint> BackOffEnd(state::TimePoint now) const;
+  /// \brief Withholds requests from a server whose entry was removed.
+  void MarkRemoved();
   /// \brief Withholds requests until a health check clears the suspicion.
   void Suspect(ServerSuspicion suspicion);
   /// \brief Records a successful health check.
@@ -61,9 +70,9 @@
   std::string_view SuspicionName() const;
   /// \brief Records a health check that failed or found the server unhealthy.
   void RecordFailedCheck();
-  /// \brief Returns the delay before the next health check, with exponential
-  /// backoff.
-  state::Duration NextCheckDelay() const;
+  /// \brief Returns the time of the next health check, with exponential
+  /// backoff, and not before the end of the server's own back-off.
+  state::TimePoint NextCheckAt(state::TimePoint now) const;
 
   /// \brief Returns the moving average of reply times, decayed while idle.
   state::Duration TypicalReplyTime(state::TimePoint now) const;
@@ -82,6 +91,7 @@
 
  private:
   bool IsUsableLocked(state::TimePoint now) const;
+  bool IsEligibleLocked(state::TimePoint now) const;
   double TypicalReplyMsLocked(state::TimePoint now) const;
   bool IsStallLocked(state::Duration unanswered) const;
   state::Duration StallTimeLocked(state::TimePoint now) const;
@@ -91,10 +101,12 @@
   mutable std::mutex mutex;
   std::size_t connection_limit;
   bool is_leaving;
+  bool is_removed = false;
   bool is_domain_out = false;
   std::optional<ServerSuspicion> suspicion;
   unsigned consecutive_failures = 0;
   state::TimePoint cold_until;
+  state::TimePoint back_off_until;
   std::vector<state::TimePoint> send_times;  // of open requests, oldest first
   double reply_ms;                           // moving average
   double failure_share = 0;                  // moving average
--- a/include/banyanknot/state/routing/registered_server.h
+++ b/include/banyanknot/state/routing/registered_server.h
@@ -22,6 +22,14 @@
   std::uint64_t started_unix_ms = 0;  ///< distinguishes restarts under one id
 };
 
+/// \brief Returns true if two records of one id describe the same start of the
+/// server.
+inline bool IsSameIncarnation(const RegisteredServer& left,
+                              const RegisteredServer& right) {
+  return left.endpoint == right.endpoint && left.service == right.service &&
+         left.started_unix_ms == right.started_unix_ms;
+}
+
 }  // namespace banyanknot::state
 
 #endif  // BANYANKNOT_STATE_ROUTING_REGISTERED_SERVER_H_
--- a/include/banyanknot/transport/backend_pools.h
+++ b/include/banyanknot/transport/backend_pools.h
@@ -70,6 +70,7 @@
   coordination::ServerConnectionListener& listener;
   const ConnectionChecks checks;
   const std::string connect_from;
+  const std::shared_ptr<ReceiveBudget> receive_budget;
   state::ShardedTable<std::string, Entry> entries;
 };
 
--- a/include/banyanknot/transport/http_connection_pool.h
+++ b/include/banyanknot/transport/http_connection_pool.h
@@ -25,6 +25,10 @@
   state::TimePoint deadline;     ///< the handler is called by then
   bool is_idempotent =
       true;  ///< false: sent only on a connection with a recent reply
+  std::size_t max_response_bytes = 64u << 20;  ///< of the body
+  /// Asked immediately before the first byte is written; on false the call
+  /// fails with kWithdrawn. May be empty.
+  std::function<bool()> may_write;
 };
 
 using HttpCallResult = state::Result<protocol::HttpResponse, TransportError>;
@@ -49,8 +53,8 @@
 /// answered is replaced by a new one, so that a silent connection costs at most
 /// one call.
 ///
-/// Errors: with kResolve, kConnect, kLimit and kExpired no byte was written;
-/// with kLost and kTimeout some may have been.
+/// Errors: with kResolve, kConnect, kLimit, kExpired and kWithdrawn no byte was
+/// written; with kLost, kTooLarge and kTimeout some may have been.
 class HttpConnectionPool {
  public:
   /// \pre options.limits.most > 0
--- a/include/banyanknot/transport/http_pool_options.h
+++ b/include/banyanknot/transport/http_pool_options.h
@@ -3,9 +3,11 @@
 
 #include <cstddef>
 #include <functional>
+#include <memory>
 #include <string>
 
 #include "banyanknot/state/util/time.h"
+#include "banyanknot/transport/receive_budget.h"
 
 namespace banyanknot::transport {
 
@@ -39,6 +41,12 @@
   bool watches_idle = true;
   /// Local IP address to connect from; empty to let the system choose.
   std::string connect_from;
+  /// Limits what all pools that share it hold for unfinished responses; null
+  /// for no limit.
+  std::shared_ptr<ReceiveBudget> receive_budget;
+  /// Size of each connection's kernel receive buffer; 0 for the system's
+  /// default. Bounds what a server can send unasked.
+  int receive_buffer_bytes = 0;
   /// Called when the server closes an idle connection, with the time since its
   /// last reply; on any thread, with no lock held. May be empty. Requires
   /// watches_idle.
--- a/include/banyanknot/transport/relay_http_client.h
+++ b/include/banyanknot/transport/relay_http_client.h
@@ -18,16 +18,16 @@
 /// Thread-safe.
 class RelayHttpClient : public coordination::RelayClient {
  public:
+  /// \param receive_budget limits what unfinished replies may hold
   RelayHttpClient(boost::asio::io_context& context,
                   const coordination::Clock& clock,
-                  const protocol::RelayCodec& codec);
+                  const protocol::RelayCodec& codec,
+                  std::shared_ptr<ReceiveBudget> receive_budget);
 
   std::shared_ptr<coordination::RelayCall> Send(
       coordination::RelaySend send,
       coordination::RelayHandler handler) override;
-  void CheckHealth(const state::InstanceId& server,
-                   const state::Endpoint& endpoint, const std::string& path,
-                   state::Duration timeout,
+  void CheckHealth(coordination::HealthCheck check,
                    coordination::ServerHealthHandler handler) override;
   void CloseConnections(const state::InstanceId& server,
                         const state::Endpoint& endpoint) override;
@@ -41,6 +41,7 @@
   boost::asio::io_context& context;
   const coordination::Clock& clock;
   const protocol::RelayCodec& codec;
+  const std::shared_ptr<ReceiveBudget> receive_budget;
   state::ShardedTable<std::string, PoolPtr> pools;
 };
 
--- a/include/banyanknot/transport/transport_error.h
+++ b/include/banyanknot/transport/transport_error.h
@@ -10,19 +10,20 @@
 
 /// \brief Errors of the transport layer.
 enum class TransportError {
-  kResolve,   ///< the address is not an IP address
-  kListen,    ///< the address or port can't be listened on
-  kConnect,   ///< the connection could not be established
-  kLimit,     ///< the connection limit is reached
-  kLost,      ///< the connection failed after the first byte
-  kTimeout,   ///< no reply in time
-  kExpired,   ///< cancelled or too late before the first byte
-  kTooLarge,  ///< the message exceeds its size limit
-  kClosed,    ///< this process is shutting down
+  kResolve,    ///< the address is not an IP address
+  kListen,     ///< the address or port can't be listened on
+  kConnect,    ///< the connection could not be established
+  kLimit,      ///< the connection limit is reached
+  kLost,       ///< the connection failed after the first byte
+  kTimeout,    ///< no reply in time
+  kExpired,    ///< cancelled or too late before the first byte
+  kTooLarge,   ///< the message exceeds its size limit
+  kWithdrawn,  ///< refused by the call's own check before the first byte
+  kClosed,     ///< this process is shutting down
 };
 
 /// \brief Names of TransportError in messages and logs.
-inline constexpr std::array<state::EnumName<TransportError>, 9>
+inline constexpr std::array<state::EnumName<TransportError>, 10>
     kTransportErrorNames{{
         {TransportError::kResolve, "resolve"},
         {TransportError::kListen, "listen"},
@@ -32,6 +33,7 @@
         {TransportError::kTimeout, "timeout"},
         {TransportError::kExpired, "expired"},
         {TransportError::kTooLarge, "too_large"},
+        {TransportError::kWithdrawn, "withdrawn"},
         {TransportError::kClosed, "closed"},
     }};
 
--- a/src/coordination/routing/relay_admission.cc
+++ b/src/coordination/routing/relay_admission.cc
@@ -1,5 +1,8 @@
 #include "banyanknot/coordination/routing/relay_admission.h"
 
+#include <algorithm>
+#include <vector>
+
 namespace banyanknot::coordination {
 namespace {
 
@@ -19,7 +22,12 @@
                                                state::TimePoint now) const {
   const ServerPicker& picker = this->policies.picker;
   if (!picker.HasUsableServer(part.service, part.tried, now)) {
-    return RelayAdmissionResult::kNoServer;
+    const std::optional<state::TimePoint> back_off_end =
+        picker.BackOffEnd(part.service, part.tried, now);
+    if (!back_off_end) return RelayAdmissionResult::kNoServer;
+    return this->WouldMissDeadline(part, *back_off_end)
+               ? RelayAdmissionResult::kNoCapacityInTime
+               : RelayAdmissionResult::kAdmitted;
   }
   const state::Duration queueing_delay = this->EstimateDelayFor(part).delay;
   if (queueing_delay.count() == 0) return RelayAdmissionResult::kAdmitted;
@@ -58,8 +66,42 @@
   this->shortage_estimate = this->EstimateDelayFor(part);
 }
 
-state::Duration RelayAdmission::RetryAfter(state::TimePoint now) const {
-  return this->policies.retry_after.RetryAfter(this->saturated_service,
+std::optional<state::TimePoint> RelayAdmission::BackOffEnd(
+    const RelayPart& part, state::TimePoint now) const {
+  const ServerPicker& picker = this->policies.picker;
+  if (picker.HasUsableServer(part.service, part.tried, now)) {
+    return std::nullopt;
+  }
+  return picker.BackOffEnd(part.service, part.tried, now);
+}
+
+// A retry may reach the servers that this request has tried.
+state::Duration RelayAdmission::BackOffOf(const RelayParts& parts,
+                                          std::size_t min_parts,
+                                          state::TimePoint now) const {
+  const ServerPicker& picker = this->policies.picker;
+  std::vector<state::TimePoint> available_at;
+  for (const RelayPart& part : parts.All()) {
+    if (picker.HasUsableServer(part.service, {}, now)) {
+      available_at.push_back(now);
+      continue;
+    }
+    const std::optional<state::TimePoint> end =
+        picker.BackOffEnd(part.service, {}, now);
+    if (end) available_at.push_back(*end);
+  }
+  if (available_at.size() < min_parts) return state::Duration(0);
+  const auto last_needed =
+      available_at.begin() + static_cast<std::ptrdiff_t>(min_parts) - 1;
+  std::nth_element(available_at.begin(), last_needed, available_at.end());
+  return *last_needed - now;
+}
+
+state::Duration RelayAdmission::RetryAfter(const RelayParts& parts,
+                                           std::size_t min_parts,
+                                           state::TimePoint now) const {
+  return this->BackOffOf(parts, min_parts, now) +
+         this->policies.retry_after.RetryAfter(this->saturated_service,
                                                this->shortage_estimate, now);
 }
 
--- a/src/coordination/routing/relay_executor.cc
+++ b/src/coordination/routing/relay_executor.cc
@@ -7,6 +7,9 @@
 
 /// Retry-after time of a host that has no routes yet.
 constexpr state::Duration kNotConfiguredRetryAfter = state::Milliseconds(200);
+/// A part is a list of short records, of which only the greatest are used.
+constexpr std::size_t kMaxPartBytes = 256u << 10;
+constexpr std::size_t kMaxRelayedReplyBytes = 16u << 20;
 
 }  // namespace
 
@@ -120,12 +123,8 @@
   for (const TrackedServerPtr& server : effects.suspects) {
     this->checker.Check(server);
   }
-  for (const state::ServiceId& service : effects.capacity_waits) {
-    const QueuedRequest queued{number, run->Route().priority, run->Deadline()};
-    if (this->queue.Enqueue(service, queued, this->clock.Now())) continue;
-    this->Post(number, [this, service](RelayRun& full_run) {
-      return full_run.OnQueueFull(service, this->clock.Now());
-    });
+  for (const CapacityWait& wait : effects.capacity_waits) {
+    this->Enqueue(number, *run, wait);
   }
   if (effects.next_timer_at) {
     this->timers.RunAt(*effects.next_timer_at, [this, number] {
@@ -139,6 +138,20 @@
   }
 }
 
+void RelayExecutor::Enqueue(std::uint64_t number, const RelayRun& run,
+                            const CapacityWait& wait) {
+  const QueuedRequest queued{number, run.Route().priority, run.Deadline()};
+  const state::ServiceId& service = wait.service;
+  if (!this->queue.Enqueue(service, queued, this->clock.Now())) {
+    this->Post(number, [this, service](RelayRun& full_run) {
+      return full_run.OnQueueFull(service, this->clock.Now());
+    });
+  } else if (wait.retry_at) {
+    this->timers.RunAt(*wait.retry_at,
+                       [this, service] { this->DispatchNext(service); });
+  }
+}
+
 void RelayExecutor::Send(std::uint64_t number, const RelayRun& run,
                          const SendCommand& order) {
   RelaySend send;
@@ -147,6 +160,9 @@
   send.request = run.RequestPtr();
   send.deadline = order.deadline;
   send.is_idempotent = run.Route().is_idempotent;
+  send.max_reply_bytes =
+      run.Route().IsGather() ? kMaxPartBytes : kMaxRelayedReplyBytes;
+  send.notices = order.server;
   const std::uint32_t attempt = order.attempt;
   std::shared_ptr<RelayCall> call = this->client.Send(
       std::move(send), [this, number, attempt](RelayResult result) {
--- a/src/coordination/routing/relay_run.cc
+++ b/src/coordination/routing/relay_run.cc
@@ -121,7 +121,8 @@
   switch (this->admission.CheckPart(part, now)) {
     case RelayAdmissionResult::kAdmitted:
       part.is_queued = true;
-      effects.capacity_waits.push_back(part.service);
+      effects.capacity_waits.push_back(
+          {part.service, this->admission.BackOffEnd(part, now)});
       break;
     case RelayAdmissionResult::kNoCapacityInTime:
       this->admission.RecordCapacityShortage(part);
@@ -137,6 +138,7 @@
       case RelayFailure::kNotSent:
         return AttemptOutcome::kNotSent;
       case RelayFailure::kLimit:
+      case RelayFailure::kWithdrawn:
         return AttemptOutcome::kCancelled;
       case RelayFailure::kTimeout:
         return AttemptOutcome::kTimedOut;
@@ -380,7 +382,8 @@
   answer.outcome = may_have_run ? if_run : state::RelayOutcome::kNotRun;
   answer.reason = reason;
   if (!may_have_run) {
-    answer.retry_after = this->admission.RetryAfter(now);
+    answer.retry_after =
+        this->admission.RetryAfter(this->parts, this->counts.min_parts, now);
   }
   effects.answer = std::move(answer);
   // The results of requests still open would be discarded.
--- a/src/coordination/routing/server_directory.cc
+++ b/src/coordination/routing/server_directory.cc
@@ -14,12 +14,6 @@
 /// Added cost of a server in another failure domain, for latency and traffic.
 constexpr state::Duration kCrossDomainCost = state::Milliseconds(2);
 
-bool IsSameInstance(const state::RegisteredServer& left,
-                    const state::RegisteredServer& right) {
-  return left.endpoint == right.endpoint && left.service == right.service &&
-         left.started_unix_ms == right.started_unix_ms;
-}
-
 bool Contains(const std::vector<state::InstanceId>& ids,
               const state::InstanceId& id) {
   return std::find(ids.begin(), ids.end(), id) != ids.end();
@@ -39,7 +33,7 @@
 TrackedServerPtr ServerDirectory::Put(const state::RegisteredServer& record) {
   const state::TimePoint now = this->clock.Now();
   TrackedServerPtr known = this->by_id.Find(record.id).value_or(nullptr);
-  if (known != nullptr && IsSameInstance(known->Record(), record)) {
+  if (known != nullptr && IsSameIncarnation(known->Record(), record)) {
     known->Update(record, now);
     return nullptr;
   }
@@ -47,6 +41,7 @@
   const TrackedServerPtr added = std::make_shared<TrackedServer>(
       record, this->ConnectionLimitOf(record.service));
   if (record.cold_for.count() > 0) added->SetColdFor(record.cold_for, now);
+  if (this->departed.Contains(record)) added->MarkLeaving();
   {
     const std::lock_guard<std::mutex> lock(this->domains_mutex);
     added->SetDomainOut(this->domains_out.count(record.domain) > 0);
@@ -59,7 +54,8 @@
 TrackedServerPtr ServerDirectory::Remove(const state::InstanceId& id) {
   TrackedServerPtr server = this->by_id.Take(id).value_or(nullptr);
   if (server == nullptr) return nullptr;
-  server->MarkLeaving();
+  server->MarkRemoved();
+  if (server->IsLeaving()) this->departed.Add(server->Record());
   this->RemoveFromPool(server);
   return server;
 }
@@ -178,6 +174,19 @@
       });
 }
 
+std::optional<state::TimePoint> ServerDirectory::BackOffEnd(
+    const state::ServiceId& service,
+    const std::vector<state::InstanceId>& tried, state::TimePoint now) const {
+  const Pool pool = this->PoolOf(service);
+  std::optional<state::TimePoint> earliest;
+  for (const TrackedServerPtr& server : *pool) {
+    if (Contains(tried, server->Record().id)) continue;
+    const std::optional<state::TimePoint> end = server->BackOffEnd(now);
+    if (end && (!earliest || *end < *earliest)) earliest = end;
+  }
+  return earliest;
+}
+
 bool ServerDirectory::HasCapacity(const state::ServiceId& service,
                                   const std::vector<state::InstanceId>& tried,
                                   state::TimePoint now) const {
--- a/src/coordination/routing/server_health_checker.cc
+++ b/src/coordination/routing/server_health_checker.cc
@@ -34,7 +34,7 @@
 }
 
 void ServerHealthChecker::ScheduleCheck(const TrackedServerPtr& server) {
-  this->timers.RunAt(this->clock.Now() + server->NextCheckDelay(),
+  this->timers.RunAt(server->NextCheckAt(this->clock.Now()),
                      [this, server] { this->SendCheck(server); });
 }
 
@@ -47,8 +47,13 @@
     this->under_check.Take(server.get());
     return;
   }
+  // A reply since the check was scheduled may have asked for a back-off.
+  if (!server->AcceptsRequests(this->clock.Now())) {
+    this->ScheduleCheck(server);
+    return;
+  }
   this->client.CheckHealth(
-      record.id, record.endpoint, spec->health_path, kHealthTimeout,
+      {record.id, record.endpoint, spec->health_path, kHealthTimeout, server},
       [this, server](const std::optional<ServerHealth>& health) {
         this->OnHealth(server, health);
       });
--- a/src/coordination/routing/tracked_server.cc
+++ b/src/coordination/routing/tracked_server.cc
@@ -36,6 +36,9 @@
 constexpr state::Duration kInitialCheckDelay = state::Milliseconds(20);
 constexpr state::Duration kMaxCheckDelay = state::Milliseconds(800);
 constexpr unsigned kMaxDoublings = 6;
+/// Longer back-offs count as this one, so that a nonsensical one can't take a
+/// server out of use for good.
+constexpr state::Duration kMaxBackOff = state::Milliseconds(3'600'000);
 
 }  // namespace
 
@@ -68,6 +71,39 @@
   this->is_leaving = true;
 }
 
+bool TrackedServer::IsLeaving() const {
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  return this->is_leaving;
+}
+
+void TrackedServer::MarkRemoved() {
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  this->is_removed = true;
+}
+
+void TrackedServer::OnNotice(const ServerNotice& notice, state::TimePoint now) {
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  this->is_leaving = this->is_leaving || notice.is_leaving;
+  this->back_off_until = std::max(this->back_off_until,
+                                  now + std::min(notice.back_off, kMaxBackOff));
+}
+
+bool TrackedServer::AcceptsRequests(state::TimePoint now) const {
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  return !this->is_leaving && !this->is_removed && !this->is_domain_out &&
+         now >= this->back_off_until;
+}
+
+std::optional<state::TimePoint> TrackedServer::BackOffEnd(
+    state::TimePoint now) const {
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  if (now >= this->back_off_until ||
+      !this->IsEligibleLocked(this->back_off_until)) {
+    return std::nullopt;
+  }
+  return this->back_off_until;
+}
+
 void TrackedServer::Suspect(ServerSuspicion new_suspicion) {
   const std::lock_guard<std::mutex> lock(this->mutex);
   this->suspicion = new_suspicion;
@@ -87,8 +123,12 @@
 }
 
 bool TrackedServer::IsUsableLocked(state::TimePoint now) const {
-  return !this->is_leaving && !this->is_domain_out && !this->suspicion &&
-         now >= this->cold_until;
+  return this->IsEligibleLocked(now) && now >= this->back_off_until;
+}
+
+bool TrackedServer::IsEligibleLocked(state::TimePoint now) const {
+  return !this->is_leaving && !this->is_removed && !this->is_domain_out &&
+         !this->suspicion && now >= this->cold_until;
 }
 
 bool TrackedServer::IsUsable(state::TimePoint now) const {
@@ -99,7 +139,7 @@
 bool TrackedServer::NeedsHealthCheck() const {
   const std::lock_guard<std::mutex> lock(this->mutex);
   return this->suspicion.has_value() && !this->is_leaving &&
-         !this->is_domain_out;
+         !this->is_removed && !this->is_domain_out;
 }
 
 bool TrackedServer::HasRepliedSince(state::TimePoint since) const {
@@ -129,11 +169,13 @@
   ++this->consecutive_failures;
 }
 
-state::Duration TrackedServer::NextCheckDelay() const {
+state::TimePoint TrackedServer::NextCheckAt(state::TimePoint now) const {
   const std::lock_guard<std::mutex> lock(this->mutex);
   const unsigned doublings =
       std::min(this->consecutive_failures, kMaxDoublings);
-  return std::min(kInitialCheckDelay * (1u << doublings), kMaxCheckDelay);
+  const state::Duration delay =
+      std::min(kInitialCheckDelay * (1u << doublings), kMaxCheckDelay);
+  return std::max(now + delay, this->back_off_until);
 }
 
 bool TrackedServer::IsStallLocked(state::Duration unanswered) const {
--- a/src/protocol/json_schema_texts.cc
+++ b/src/protocol/json_schema_texts.cc
@@ -58,6 +58,7 @@
     "metrics_listen": {"$ref": "#/definitions/endpoint"},
     "source": {"$ref": "#/definitions/endpoint"},
     "source_contact_ms": {"type": "integer", "minimum": 100, "maximum": 600000},
+    "memory_mb": {"type": "integer", "minimum": 16, "maximum": 1000000},
     "threads": {"type": "integer", "minimum": 1, "maximum": 256},
     "leave_grace_ms": {"type": "integer", "minimum": 0, "maximum": 600000},
     "stop_bound_ms": {"type": "integer", "minimum": 0, "maximum": 600000},
--- a/src/transport/backend_pools.cc
+++ b/src/transport/backend_pools.cc
@@ -12,6 +12,8 @@
 
 constexpr std::size_t kMaxQueuedSubRequests = 256;
 constexpr std::size_t kMaxQueuedControlCalls = 64;
+/// Of all backend servers' unfinished replies together.
+constexpr std::size_t kMaxReceivingBytes = 64u << 20;
 constexpr state::Duration kControlIdleLifetime = state::Milliseconds(500);
 constexpr state::Duration kSilenceDetectionOff =
     state::Milliseconds(86'400'000);
@@ -28,8 +30,10 @@
           std::max<std::size_t>(1, share.max_idle)};
 }
 
-HttpPoolOptions ControlOptions(const std::string& connect_from) {
+HttpPoolOptions ControlOptions(const std::string& connect_from,
+                               std::shared_ptr<ReceiveBudget> budget) {
   HttpPoolOptions options;
+  options.receive_budget = std::move(budget);
   options.max_queued_calls = kMaxQueuedControlCalls;
   options.idle_lifetime = kControlIdleLifetime;
   options.connect_from = connect_from;
@@ -48,7 +52,8 @@
       shares(shares),
       listener(listener),
       checks(checks),
-      connect_from(std::move(connect_from)) {}
+      connect_from(std::move(connect_from)),
+      receive_budget(std::make_shared<ReceiveBudget>(kMaxReceivingBytes)) {}
 
 ServerPools BackendPools::Of(const state::ServerId& server,
                              const state::Endpoint& endpoint) {
@@ -68,6 +73,7 @@
   options.limits = ToLimits(this->shares.Of(server, endpoint));
   options.max_queued_calls = kMaxQueuedSubRequests;
   options.connect_from = this->connect_from;
+  options.receive_budget = this->receive_budget;
   if (this->checks == ConnectionChecks::kSilent) {
     options.check_target = protocol::kHealthPath;
   } else {
@@ -77,11 +83,11 @@
                                  server](state::Duration idle_for) {
     listener.OnClosedByServer(server, idle_for);
   };
-  return {
-      std::make_shared<HttpConnectionPool>(this->context, this->clock, endpoint,
-                                           std::move(options)),
-      std::make_shared<HttpConnectionPool>(this->context, this->clock, endpoint,
-                                           ControlOptions(this->connect_from))};
+  return {std::make_shared<HttpConnectionPool>(this->context, this->clock,
+                                               endpoint, std::move(options)),
+          std::make_shared<HttpConnectionPool>(
+              this->context, this->clock, endpoint,
+              ControlOptions(this->connect_from, this->receive_budget))};
 }
 
 void BackendPools::ApplyShares() {
--- a/src/transport/client_connection.cc
+++ b/src/transport/client_connection.cc
@@ -25,9 +25,16 @@
 
 namespace {
 
-constexpr std::size_t kMaxResponseBytes = 64u << 20;
+constexpr std::size_t kMaxCheckResponseBytes = 1u << 20;
 /// Several times the size of the header that servers send.
 constexpr std::uint32_t kMaxResponseHeaderBytes = 64u << 10;
+/// Of unparsed input: a whole header, and the rest of a read after it. Also
+/// bounds chunk extensions, which have no limit of their own.
+constexpr std::size_t kMaxBufferedBytes = 80u << 10;
+/// Interim (1xx) heads before a response.
+constexpr unsigned kMaxInterimHeads = 8;
+/// Longer announced idle timeouts count as this one.
+constexpr std::int64_t kMaxKeepAliveSeconds = 3'600;
 constexpr int kUserTimeoutMilliseconds = 2'000;
 constexpr int kKeepAliveIdleSeconds = 10;
 constexpr int kKeepAliveIntervalSeconds = 2;
@@ -50,11 +57,28 @@
   const std::from_chars_result parsed = std::from_chars(
       text.data() + at + kTimeout.size(), text.data() + text.size(), seconds);
   if (parsed.ec != std::errc()) return std::nullopt;
+  seconds = std::clamp<std::int64_t>(seconds, 0, kMaxKeepAliveSeconds);
   return std::max(state::Milliseconds(seconds * kMillisecondsPerSecond) -
                       kIdleTimeoutMargin,
                   state::Duration(0));
 }
 
+bool IsInterim(const http::response<http::string_body>& response) {
+  return http::to_status_class(response.result_int()) ==
+             http::status_class::informational &&
+         response.result() != http::status::switching_protocols;
+}
+
+TransportError ReadErrorOf(const beast::error_code& error) {
+  if (error == beast::error::timeout || error == asio::error::timed_out) {
+    return TransportError::kTimeout;
+  }
+  const bool is_too_large = error == http::error::body_limit ||
+                            error == http::error::header_limit ||
+                            error == http::error::buffer_overflow;
+  return is_too_large ? TransportError::kTooLarge : TransportError::kLost;
+}
+
 template <int kName>
 void SetTcpOption(tcp::socket& socket, int value) {
   beast::error_code ignored;
@@ -67,7 +91,9 @@
 ClientConnection::ClientConnection(std::shared_ptr<PoolCore> pool)
     : pool(std::move(pool)),
       stream(asio::make_strand(this->pool->context)),
-      timer(this->stream.get_executor()) {}
+      timer(this->stream.get_executor()),
+      buffer(kMaxBufferedBytes),
+      reservation(this->pool->options.receive_budget) {}
 
 bool ClientConnection::IsRecentlyActive(state::TimePoint now) const {
   return this->pool->options.check_target.empty() ||
@@ -139,6 +165,13 @@
     this->FailCall(TransportError::kConnect);
     return;
   }
+  if (this->pool->options.receive_buffer_bytes > 0) {
+    this->stream.socket().set_option(
+        asio::socket_base::receive_buffer_size(
+            this->pool->options.receive_buffer_bytes),
+        error);
+    if (error) error.clear();  // the system's default is as correct
+  }
   this->stream.expires_at(this->current->call.send_before);
   this->stream.async_connect(
       endpoint, [self = this->shared_from_this()](
@@ -264,6 +297,12 @@
     expired->handler(TransportError::kExpired);
     return;
   }
+  if (this->current->call.may_write && !this->current->call.may_write()) {
+    const std::shared_ptr<PendingCall> withdrawn = std::move(this->current);
+    this->ReturnToPool();
+    withdrawn->handler(TransportError::kWithdrawn);
+    return;
+  }
   this->request = ToBeast(std::move(this->current->call.request),
                           ToText(this->pool->endpoint));
   this->stream.expires_never();
@@ -338,26 +377,61 @@
       });
 }
 
-void ClientConnection::ReadResponse(
-    std::function<void(const beast::error_code&)> handler) {
+void ClientConnection::ReadResponse(ReadHandler handler) {
+  this->interim_heads = 0;
+  this->StartParser();
+  this->ReadSome(std::move(handler));
+}
+
+void ClientConnection::StartParser() {
   this->parser.emplace();
-  this->parser->body_limit(kMaxResponseBytes);
+  this->parser->body_limit(this->current == nullptr
+                               ? kMaxCheckResponseBytes
+                               : this->current->call.max_response_bytes);
   this->parser->header_limit(kMaxResponseHeaderBytes);
   this->parser->skip(this->request.method() == http::verb::head);
-  http::async_read(this->stream, this->buffer, *this->parser,
-                   [handler = std::move(handler)](
-                       const beast::error_code& error, std::size_t /*bytes*/) {
-                     handler(error);
-                   });
+}
+
+void ClientConnection::ReadSome(ReadHandler handler) {
+  http::async_read_some(
+      this->stream, this->buffer, *this->parser,
+      [self = this->shared_from_this(), handler = std::move(handler)](
+          const beast::error_code& error, std::size_t /*bytes*/) mutable {
+        self->OnSomeRead(error, std::move(handler));
+      });
+}
+
+void ClientConnection::OnSomeRead(const beast::error_code& error,
+                                  ReadHandler handler) {
+  // The connection may have been closed after these bytes arrived.
+  if (error || this->is_closed) {
+    handler(error ? error : asio::error::operation_aborted);
+    return;
+  }
+  if (!this->reservation.TryGrowTo(this->parser->get().body().size())) {
+    handler(http::make_error_code(http::error::body_limit));
+    return;
+  }
+  if (!this->parser->is_done()) {
+    this->ReadSome(std::move(handler));
+    return;
+  }
+  if (!IsInterim(this->parser->get())) {
+    handler(error);
+    return;
+  }
+  if (++this->interim_heads > kMaxInterimHeads) {
+    handler(http::make_error_code(http::error::header_limit));
+    return;
+  }
+  this->StartParser();
+  this->ReadSome(std::move(handler));
 }
 
 void ClientConnection::OnRead(const beast::error_code& error) {
   if (this->current == nullptr) return;  // cancelled in the meantime
   if (error) {
-    const bool is_timeout =
-        error == beast::error::timeout || error == asio::error::timed_out;
-    this->FailCall(is_timeout ? TransportError::kTimeout
-                              : TransportError::kLost);
+    this->FailCall(ReadErrorOf(error));
     return;
   }
   const state::TimePoint now = this->pool->clock.Now();
@@ -366,6 +440,7 @@
   const bool keep_alive = this->parser->keep_alive();
   this->advertised_idle_timeout = ParseKeepAliveTimeout(this->parser->get());
   protocol::HttpResponse response = FromBeast(this->parser->release());
+  this->reservation.Clear();
   const std::shared_ptr<PendingCall> finished = std::move(this->current);
   this->is_written = false;
   if (this->is_silent && this->pool->TryReacquireSlot()) {
@@ -439,6 +514,7 @@
 void ClientConnection::CloseNow() {
   if (this->is_closed) return;
   this->is_closed = true;
+  this->reservation.Clear();
   beast::error_code ignored;
   this->timer.cancel();
   this->stream.socket().close(ignored);
--- a/src/transport/client_connection.h
+++ b/src/transport/client_connection.h
@@ -68,8 +68,11 @@
   void CloseNow();
   bool IsClosedByServer();
   TransportError ConnectError(const boost::beast::error_code& error) const;
-  void ReadResponse(
-      std::function<void(const boost::beast::error_code&)> handler);
+  using ReadHandler = std::function<void(const boost::beast::error_code&)>;
+  void ReadResponse(ReadHandler handler);
+  void StartParser();
+  void ReadSome(ReadHandler handler);
+  void OnSomeRead(const boost::beast::error_code& error, ReadHandler handler);
 
   const std::shared_ptr<PoolCore> pool;
   boost::beast::tcp_stream stream;
@@ -84,6 +87,8 @@
   std::optional<
       boost::beast::http::response_parser<boost::beast::http::string_body>>
       parser;
+  unsigned interim_heads = 0;  // 1xx, of the current response
+  ReceiveReservation reservation;
   std::shared_ptr<PendingCall> current;
   std::atomic<state::Duration::rep> last_reply_at{0};
   // From the server's Keep-Alive header, less a margin.
--- a/src/transport/relay_http_client.cc
+++ b/src/transport/relay_http_client.cc
@@ -17,6 +17,9 @@
 /// A server that takes longer to accept is unreachable or has a full accept
 /// queue.
 constexpr state::Duration kConnectTimeout = state::Milliseconds(250);
+constexpr std::size_t kMaxHealthBytes = 64u << 10;
+/// Several times the product of bandwidth and round-trip time within a site.
+constexpr int kReceiveBufferBytes = 128 << 10;
 constexpr state::Duration kSilenceDetectionOff = state::Milliseconds(3'600'000);
 
 std::string KeyOf(const state::InstanceId& server,
@@ -32,6 +35,8 @@
       return coordination::RelayFailure::kNotSent;
     case TransportError::kLimit:
       return coordination::RelayFailure::kLimit;
+    case TransportError::kWithdrawn:
+      return coordination::RelayFailure::kWithdrawn;
     case TransportError::kTimeout:
       return coordination::RelayFailure::kTimeout;
     default:
@@ -55,8 +60,12 @@
 
 RelayHttpClient::RelayHttpClient(boost::asio::io_context& context,
                                  const coordination::Clock& clock,
-                                 const protocol::RelayCodec& codec)
-    : context(context), clock(clock), codec(codec) {}
+                                 const protocol::RelayCodec& codec,
+                                 std::shared_ptr<ReceiveBudget> receive_budget)
+    : context(context),
+      clock(clock),
+      codec(codec),
+      receive_budget(std::move(receive_budget)) {}
 
 RelayHttpClient::PoolPtr RelayHttpClient::PoolOf(
     const state::InstanceId& server, const state::Endpoint& endpoint) {
@@ -68,6 +77,8 @@
       options.silence_timeout = kSilenceDetectionOff;
       // Saves a wait and its cancellation for each request.
       options.watches_idle = false;
+      options.receive_budget = this->receive_budget;
+      options.receive_buffer_bytes = kReceiveBufferBytes;
       pool = std::make_shared<HttpConnectionPool>(this->context, this->clock,
                                                   endpoint, std::move(options));
     }
@@ -83,38 +94,49 @@
   call.send_before = std::min(send.deadline, now + kConnectTimeout);
   call.deadline = send.deadline + kDeadlineSlack;
   call.is_idempotent = send.is_idempotent;
+  call.max_response_bytes = send.max_reply_bytes;
+  call.may_write = [this, notices = send.notices] {
+    return notices->AcceptsRequests(this->clock.Now());
+  };
   const PoolPtr pool = this->PoolOf(send.server, send.endpoint);
   HttpCallHandle handle = pool->Call(
-      std::move(call), [this, id = send.request->id,
+      std::move(call), [this, id = send.request->id, notices = send.notices,
                         handler = std::move(handler)](HttpCallResult result) {
-        if (state::IsOk(result)) {
-          handler(
-              this->codec.DecodeReply(state::TakeValue(std::move(result)), id));
-        } else {
+        if (!state::IsOk(result)) {
           handler(FailureOf(state::ErrorOf(result)));
+          return;
         }
+        coordination::RelayReply reply =
+            this->codec.DecodeReply(state::TakeValue(std::move(result)), id);
+        notices->OnNotice(reply.notice, this->clock.Now());
+        handler(std::move(reply));
       });
   return std::make_shared<PooledCall>(pool, std::move(handle));
 }
 
-void RelayHttpClient::CheckHealth(const state::InstanceId& server,
-                                  const state::Endpoint& endpoint,
-                                  const std::string& path,
-                                  state::Duration timeout,
+void RelayHttpClient::CheckHealth(coordination::HealthCheck check,
                                   coordination::ServerHealthHandler handler) {
   HttpCall call;
-  call.request = this->codec.EncodeHealthCheck(endpoint, path);
-  call.deadline = this->clock.Now() + timeout;
+  call.request = this->codec.EncodeHealthCheck(check.endpoint, check.path);
+  call.deadline = this->clock.Now() + check.timeout;
   call.send_before = call.deadline;
-  this->PoolOf(server, endpoint)
-      ->Call(std::move(call), [this, handler = std::move(handler)](
-                                  const HttpCallResult& result) {
-        if (state::IsOk(result)) {
-          handler(this->codec.DecodeHealth(state::ValueOf(result)));
-        } else {
-          handler(std::nullopt);
-        }
-      });
+  call.max_response_bytes = kMaxHealthBytes;
+  call.may_write = [this, notices = check.notices] {
+    return notices->AcceptsRequests(this->clock.Now());
+  };
+  this->PoolOf(check.server, check.endpoint)
+      ->Call(std::move(call),
+             [this, notices = check.notices,
+              handler = std::move(handler)](const HttpCallResult& result) {
+               if (!state::IsOk(result)) {
+                 handler(std::nullopt);
+                 return;
+               }
+               const coordination::ServerHealth health =
+                   this->codec.DecodeHealth(state::ValueOf(result));
+               notices->OnNotice(health.notice, this->clock.Now());
+               handler(health);
+             });
 }
 
 void RelayHttpClient::CloseConnections(const state::InstanceId& server,
--- a/test/coordination/routing/relay_fixture.h
+++ b/test/coordination/routing/relay_fixture.h
@@ -95,20 +95,29 @@
     const Reaction reaction = this->script(send);
     const std::shared_ptr<Call> call = std::make_shared<Call>(this->cancelled);
     this->time.RunAt(this->time.Now() + reaction.after,
-                     [call, reaction, handler = std::move(handler)] {
-                       if (!call->is_cancelled) handler(reaction.result);
+                     [this, call, reaction, notices = send.notices,
+                      handler = std::move(handler)] {
+                       if (call->is_cancelled) return;
+                       if (state::IsOk(reaction.result)) {
+                         notices->OnNotice(
+                             state::ValueOf(reaction.result).notice,
+                             this->time.Now());
+                       }
+                       handler(reaction.result);
                      });
     return call;
   }
-  void CheckHealth(const state::InstanceId& server,
-                   const state::Endpoint& /*endpoint*/,
-                   const std::string& /*path*/, state::Duration /*timeout*/,
-                   ServerHealthHandler handler) override {
-    ++this->health_checks[server.Text()];
-    const std::optional<ServerHealth> health = this->health(server);
+  void CheckHealth(HealthCheck check, ServerHealthHandler handler) override {
+    ++this->health_checks[check.server.Text()];
+    const std::optional<ServerHealth> health = this->health(check.server);
     this->time.RunAt(
         this->time.Now() + Milliseconds(1),
-        [health, handler = std::move(handler)] { handler(health); });
+        [this, health, notices = check.notices, handler = std::move(handler)] {
+          if (health) {
+            notices->OnNotice(health->notice, this->time.Now());
+          }
+          handler(health);
+        });
   }
   void CloseConnections(const state::InstanceId& server,
                         const state::Endpoint& /*endpoint*/) override {
--- a/test/platform/edge/edge_process_test.cc
+++ b/test/platform/edge/edge_process_test.cc
@@ -9,6 +9,7 @@
 #include "platform/edge/edge_world.h"
 #include "platform/edge/raw_caller.h"
 #include "platform/wire_names.h"
+#include "transport/raw_byte_server.h"
 
 // Runs the edge program as a process between stand-ins for the store, servers
 // and callers.
@@ -19,6 +20,8 @@
 
 constexpr state::Duration kEventTimeout = state::Milliseconds(10'000);
 constexpr state::Duration kExitTimeout = state::Milliseconds(15'000);
+/// The smallest hosts have 160 MB.
+constexpr std::size_t kMaxResidentKb = 160'000;
 
 unsigned StatusOf(const std::optional<Response>& response) {
   return response ? response->result_int() : 0;
@@ -246,6 +249,73 @@
   CHECK(edge->WaitForEvent("routes_in_force", kEventTimeout));
 }
 
+TEST_CASE("Odd entries among the servers stop nothing") {
+  EdgeWorld world;
+  const std::unique_ptr<EdgeProcess> edge = StartReady(world);
+  const std::string prefix = wire::kServerPrefix;
+  const nlohmann::json valid = {{"Service", "desk"}, {"Address", "127.0.0.1:9"},
+                                {"Zone", "a"},       {"Slots", 8},
+                                {"State", "ready"},  {"born", 1}};
+  nlohmann::json deep = nlohmann::json::array();
+  for (int depth = 0; depth < 3'000; ++depth) deep = {deep};
+  const std::vector<std::pair<const char*, nlohmann::json>> rows = {
+      {"Slots", 1e300},
+      {"Slots", -1},
+      {"WarmupLeftMs", 1e300},
+      {"WarmupLeftMs", 9e18},
+      {"born", 1e300},
+      {"Address", "127.0.0.1:65536"},
+      {"Address", "127.0.0.1:0"},
+      {"Address", "999.1.1.1:80"},
+      {"State", "resting"},
+      {"Service", 7},
+      {"Extra", deep}};
+  for (std::size_t index = 0; index < rows.size(); ++index) {
+    nlohmann::json entry = valid;
+    entry[rows[index].first] = rows[index].second;
+    // A key of its own, and then that of a server in use.
+    world.Store().Put(prefix + "odd" + std::to_string(index), entry);
+    world.Store().Put(prefix + "d1", entry);
+    CHECK(edge->WaitForEvent("source_entry_unreadable", kEventTimeout));
+  }
+  RawCaller caller(edge->Callers());
+  for (int index = 0; index < 20; ++index) {
+    CHECK(StatusOf(caller.Call("/desk/1", "odd-" + std::to_string(index))) ==
+          200);
+  }
+  // It still follows the store.
+  world.PutRoutes(9);
+  CHECK(edge->WaitForEvent("routes_in_force", kEventTimeout));
+  CHECK_FALSE(edge->WaitForExit(state::Milliseconds(0)));
+}
+
+TEST_CASE("Servers whose bytes never end cost bounded memory and no answer") {
+  transport::IoThreads threads{2};
+  for (const transport::EndlessBytes& row : transport::AllEndlessBytes()) {
+    INFO(row.name);
+    EdgeWorld world;
+    const transport::RawByteServer endless(threads.Context(), row.bytes);
+    for (std::size_t index = 0; index < world.Servers().size(); ++index) {
+      world.Register(world.Server(index), endless.Address().port);
+    }
+    const std::unique_ptr<EdgeProcess> edge = StartReady(world);
+    std::vector<std::unique_ptr<RawCaller>> callers;
+    for (int index = 0; index < 20; ++index) {
+      callers.push_back(std::make_unique<RawCaller>(edge->Callers()));
+      callers.back()->Write(
+          RawCaller::Request(index % 2 == 0 ? "/all/1" : "/once/1",
+                             "endless-" + std::to_string(index)));
+    }
+    for (const std::unique_ptr<RawCaller>& caller : callers) {
+      const std::optional<Response> response = caller->Read();
+      const unsigned status = StatusOf(response);
+      CHECK((status == 502 || status == 503 || status == 504));
+    }
+    CHECK(edge->PeakResidentKb() < kMaxResidentKb);
+  }
+  threads.Stop();
+}
+
 TEST_CASE("Failures of the store leave the routes in force") {
   for (const StoreMode mode :
        {StoreMode::kRefusing, StoreMode::kSilent, StoreMode::kHistoryLost,
--- a/test/platform/edge/edge_world.cc
+++ b/test/platform/edge/edge_world.cc
@@ -76,6 +76,17 @@
   return state::IsOk(result) && state::ValueOf(result).status == 200;
 }
 
+std::size_t EdgeProcess::PeakResidentKb() const {
+  std::ifstream status("/proc/" + std::to_string(this->process->Pid()) +
+                       "/status");
+  std::string word;
+  while (status >> word) {
+    std::size_t kilobytes = 0;
+    if (word == "VmHWM:" && status >> kilobytes) return kilobytes;
+  }
+  return 0;
+}
+
 EdgeWorld::EdgeWorld() {
   for (const char* id : {"d1", "d2", "s0", "s1"}) {
     // A gather needs records of 16 bytes, which the request id alone has.
--- a/test/platform/edge/edge_world.h
+++ b/test/platform/edge/edge_world.h
@@ -41,6 +41,8 @@
   std::optional<nlohmann::json> WaitForEvent(const std::string& name,
                                              state::Duration timeout);
   bool IsReady();
+  /// \brief Returns the most memory that was resident since its start.
+  std::size_t PeakResidentKb() const;
 
  private:
   const std::string id;
--- a/test/platform/header_relay_codec_test.cc
+++ b/test/platform/header_relay_codec_test.cc
@@ -116,6 +116,81 @@
   }
 }
 
+TEST_CASE("What a server says of itself is decoded in any reply") {
+  protocol::HttpResponse response;
+  for (const unsigned status : {200u, 421u, 500u, 503u}) {
+    response.status = status;
+    response.headers = {{"Server-Leaving", "1"}};
+    CHECK(kCodec.DecodeReply(response, "").notice.is_leaving);
+    CHECK(kCodec.DecodeHealth(response).notice.is_leaving);
+    response.headers = {};
+    CHECK_FALSE(kCodec.DecodeReply(response, "").notice.is_leaving);
+  }
+  struct Row {
+    unsigned status;
+    const char* retry_after;
+    state::Duration expected;
+  };
+  const state::Duration day = state::Milliseconds(86'400'000);
+  const state::Duration none{0};
+  const std::vector<Row> rows = {
+      {503, "2", state::Milliseconds(2'000)},
+      {503, "0.25", state::Milliseconds(250)},
+      {503, "0", none},
+      {503, "-3", none},
+      {503, "", none},
+      {503, "soon", none},
+      {503, "2 s", none},
+      {503, "nan", none},
+      {503, "inf", none},
+      {503, "Wed, 21 Oct 2026 07:28:00 GMT", none},
+      {503, "99999999999999999999999999", day},
+      {429, "1", state::Milliseconds(1'000)},
+      {500, "1", none},
+      {200, "1", none},
+  };
+  for (const Row& row : rows) {
+    INFO(row.status << " " << row.retry_after);
+    response.status = row.status;
+    response.headers = {{"Retry-After", row.retry_after}};
+    CHECK(kCodec.DecodeReply(response, "").notice.back_off == row.expected);
+    CHECK(kCodec.DecodeHealth(response).notice.back_off == row.expected);
+  }
+  response.headers = {{"Retry-After", std::string(400, '9')}};
+  response.status = 503;
+  CHECK(kCodec.DecodeReply(response, "").notice.back_off == day);
+}
+
+TEST_CASE("Numbers in headers can't overflow") {
+  protocol::HttpRequest request = ExampleRequest();
+  struct Row {
+    const char* text;
+    state::Duration expected;
+  };
+  const state::Duration day = state::Milliseconds(86'400'000);
+  for (const Row& row :
+       std::vector<Row>{{"500", state::Milliseconds(500)},
+                        {"-500", state::Duration(0)},
+                        {"9223372036854775807", day},
+                        {"-9223372036854775808", state::Duration(0)},
+                        {"99999999999999999999999", day},
+                        {"-99999999999999999999999", state::Duration(0)},
+                        {"x", state::Duration(0)}}) {
+    INFO(row.text);
+    for (state::HeaderField& header : request.headers) {
+      if (header.name == "Deadline-Ms") header.value = row.text;
+    }
+    CHECK(kCodec.DecodeRequest(request, state::TimePoint()).deadline ==
+          row.expected);
+    protocol::HttpResponse response;
+    response.headers = {{"Warmup-Ms", row.text}};
+    CHECK(kCodec.DecodeHealth(response).cold_for == row.expected);
+  }
+  protocol::HttpResponse response;
+  response.headers = {{"Server-Load", "18446744073709551615,1,8"}};
+  CHECK_FALSE(kCodec.DecodeReply(response, "").load);
+}
+
 TEST_CASE("Each outcome has its HTTP status") {
   struct Row {
     state::RelayOutcome outcome;
--- a/tools/check_platform_names.py
+++ b/tools/check_platform_names.py
@@ -11,7 +11,7 @@
 # listed, and neither are headers of HTTP itself.
 NAMES = re.compile(
     r"Attempt-Id|Deadline-Ms|Server-Stamp|Target-Instance|Instance-Id|"
-    r"Server-Load|Not-Executed|Warmup-Ms|Part-Stamps|Missing-Parts|"
+    r"Server-Load|Server-Leaving|Not-Executed|Warmup-Ms|Part-Stamps|Missing-Parts|"
     r"/banyanknot/ready|kv-(key|range|watch)|op/(config|evacuate)|"
     r"BANYANKNOT_CONFIG|"
     # Fields, which stand in quotes wherever they are read or written.
