Pass gathers to a roomier host of the failure domain

Cause: a host with 0.12 of a core needs some 19 ms to send and merge 90 parts, of the 40 ms that a caller 3 ms away allows for the whole; most answers of the 40 ms class came a hair too late.

Change: hosts tell each other of themselves over the platform's control address (seeds, then the gatherers themselves); a host passes a whole gather to one of its domain that has at least twice its processor share, chosen by rendezvous hashing. Both must have the same version of the routes. A gather that was not started elsewhere runs here; one that may have been is not run again. A gatherer that is silent past the moment at which it would answer is left out until it replies.

Ruled out: running a gather again after its gatherer fell silent, which would send a caller's attempt to more servers than its route allows; accepting a gatherer with newer routes, after which the first host would go back to older ones by itself.

Also: closes_connection of a response was read by nobody, so refusals of a host that is not ready kept their callers.

--- a/daemons/relay_application.cc
+++ b/daemons/relay_application.cc
@@ -9,6 +9,7 @@
 #include <future>
 #include <iostream>
 #include <utility>
+#include <vector>
 
 #include "banyanknot/Coordination"
 #include "banyanknot/Protocol"
@@ -18,6 +19,7 @@
 #include "late_bound_readiness.h"
 #include "relay_front_service.h"
 #include "relay_host_metrics.h"
+#include "relay_peer_service.h"
 #include "relay_status_service.h"
 #include "relay_stop_target.h"
 
@@ -66,6 +68,15 @@
   return limits;
 }
 
+state::HostAdvert MakeAdvert(const RelaySettings& settings) {
+  state::HostAdvert advert;
+  advert.id = settings.id;
+  advert.domain = settings.domain;
+  advert.endpoint = settings.peer_listen.value_or(state::Endpoint());
+  advert.cores = settings.cores;
+  return advert;
+}
+
 /// Returns the modification time, or 0 if the file can't be read.
 std::int64_t ModifiedAtNs(const std::string& file) {
   struct stat status {};
@@ -106,15 +117,23 @@
         source_follower(clock, timers, random, *source, intake, log,
                         settings.source_contact_timeout),
         reachability(clock, routes, servers, log),
-        front_service(clock, codec, readiness, executor),
+        roster(MakeAdvert(settings)),
+        host_link(threads.Context(), clock, codec, receive_budget),
+        advert_exchange(clock, timers, random, host_link, roster, readiness,
+                        settings.seeds),
+        dispatcher(clock, timers, host_link, roster, routes, executor, log),
+        peer_service(clock, codec, readiness, routes, roster, executor),
+        peer_server(threads.Context(), peer_service, {}),
+        front_service(clock, codec, readiness, dispatcher),
         caller_server(threads.Context(), front_service,
                       MakeHttpServerLimits({})),
         host_metrics(log, readiness, routes, executor, threads,
                      *receive_budget),
-        status_service(codec.ReadyPath(), readiness, {&journal, &host_metrics}),
+        status_service(codec.ReadyPath(), readiness,
+                       {&journal, &dispatcher, &host_metrics}),
         ready_server(threads.Context(), status_service, {}),
         metrics_server(threads.Context(), status_service, {}),
-        stop_target(executor, caller_server),
+        stop_target(executor, caller_server, peer_server),
         stop_sequence(settings.id, clock, timers, policy_table, reachability,
                       stop_target, audit) {
     this->policy_table.Put(MakeFleetPolicyRecord(settings));
@@ -155,6 +174,12 @@
   coordination::SourceFollower source_follower;
   coordination::ReachabilityReadiness reachability;
   LateBoundReadiness readiness;
+  coordination::GathererRoster roster;
+  transport::HostHttpLink host_link;
+  coordination::AdvertExchange advert_exchange;
+  coordination::RelayDispatcher dispatcher;
+  RelayPeerService peer_service;
+  transport::HttpServer peer_server;
   RelayFrontService front_service;
   transport::HttpServer caller_server;
   RelayHostMetrics host_metrics;
@@ -175,10 +200,15 @@
 RelayApplication::~RelayApplication() { this->parts->threads.Stop(); }
 
 bool RelayApplication::Listen() {
-  const std::pair<transport::HttpServer*, const state::Endpoint*> listeners[] =
-      {{&this->parts->ready_server, &this->parts->settings.ready_listen},
-       {&this->parts->metrics_server, &this->parts->settings.metrics_listen},
-       {&this->parts->caller_server, &this->parts->settings.caller_listen}};
+  std::vector<std::pair<transport::HttpServer*, const state::Endpoint*>>
+      listeners = {
+          {&this->parts->ready_server, &this->parts->settings.ready_listen},
+          {&this->parts->metrics_server, &this->parts->settings.metrics_listen},
+          {&this->parts->caller_server, &this->parts->settings.caller_listen}};
+  if (this->parts->settings.peer_listen) {
+    listeners.emplace_back(&this->parts->peer_server,
+                           &*this->parts->settings.peer_listen);
+  }
   for (const std::pair<transport::HttpServer*, const state::Endpoint*>&
            listener : listeners) {
     const state::Result<std::uint16_t, transport::TransportError> port =
@@ -274,6 +304,7 @@
       ModifiedAtNs(this->parts->settings_file);
   if (!this->Listen()) return 1;
   this->parts->source_follower.Start();
+  if (this->parts->settings.peer_listen) this->parts->advert_exchange.Start();
   this->parts->timers.RunAt(this->parts->clock.Now() + kSettingsPollInterval,
                             [this] { this->WatchSettings(); });
   return this->RunUntilStopped();
--- a/daemons/relay_front_service.cc
+++ b/daemons/relay_front_service.cc
@@ -8,15 +8,15 @@
 RelayFrontService::RelayFrontService(const coordination::Clock& clock,
                                      const protocol::RelayCodec& codec,
                                      const coordination::Readiness& readiness,
-                                     coordination::RelayExecutor& executor)
-    : clock(clock), codec(codec), readiness(readiness), executor(executor) {}
+                                     coordination::RelayRunner& runner)
+    : clock(clock), codec(codec), readiness(readiness), runner(runner) {}
 
 void RelayFrontService::Handle(
     std::shared_ptr<transport::HttpExchange> exchange) {
   state::RelayRequest request =
       this->codec.DecodeRequest(exchange->Request(), this->clock.Now());
   const std::string id = request.id;
-  const std::uint64_t run_number = this->executor.Run(
+  const std::uint64_t run_number = this->runner.Run(
       std::move(request),
       [this, exchange, id](const coordination::RelayAnswer& answer) {
         protocol::HttpResponse response = this->codec.EncodeAnswer(answer, id);
@@ -26,8 +26,8 @@
             !this->readiness.IsReady();
         exchange->Respond(std::move(response));
       });
-  if (run_number == coordination::RelayExecutor::kNoRun) return;
-  exchange->OnClosed([this, run_number] { this->executor.Cancel(run_number); });
+  if (run_number == coordination::RelayRunner::kNoRun) return;
+  exchange->OnClosed([this, run_number] { this->runner.Cancel(run_number); });
 }
 
 }  // namespace banyanknot::daemons
--- a/daemons/relay_front_service.h
+++ b/daemons/relay_front_service.h
@@ -5,7 +5,7 @@
 
 #include "banyanknot/coordination/clock.h"
 #include "banyanknot/coordination/readiness.h"
-#include "banyanknot/coordination/routing/relay_executor.h"
+#include "banyanknot/coordination/routing/relay_runner.h"
 #include "banyanknot/protocol/relay_codec.h"
 #include "banyanknot/transport/http_server.h"
 
@@ -18,14 +18,14 @@
   RelayFrontService(const coordination::Clock& clock,
                     const protocol::RelayCodec& codec,
                     const coordination::Readiness& readiness,
-                    coordination::RelayExecutor& executor);
+                    coordination::RelayRunner& runner);
   void Handle(std::shared_ptr<transport::HttpExchange> exchange) override;
 
  private:
   const coordination::Clock& clock;
   const protocol::RelayCodec& codec;
   const coordination::Readiness& readiness;
-  coordination::RelayExecutor& executor;
+  coordination::RelayRunner& runner;
 };
 
 }  // namespace banyanknot::daemons
--- /dev/null
+++ b/daemons/relay_peer_service.cc
@@ -0,0 +1,104 @@
+#include "relay_peer_service.h"
+
+#include <algorithm>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace banyanknot::daemons {
+namespace {
+
+constexpr unsigned kHttpBadRequest = 400;
+constexpr unsigned kHttpNotFound = 404;
+constexpr unsigned kHttpUnavailable = 503;
+
+protocol::HttpResponse Decline(const char* reason) {
+  protocol::HttpResponse response;
+  response.status = kHttpUnavailable;
+  response.headers.push_back({protocol::kDeclinedHeader, reason});
+  return response;
+}
+
+protocol::HttpResponse Status(unsigned status) {
+  protocol::HttpResponse response;
+  response.status = status;
+  return response;
+}
+
+}  // namespace
+
+RelayPeerService::RelayPeerService(const coordination::Clock& clock,
+                                   const protocol::RelayCodec& codec,
+                                   const coordination::Readiness& readiness,
+                                   const coordination::RouteDirectory& routes,
+                                   coordination::GathererRoster& roster,
+                                   coordination::RelayRunner& executor)
+    : clock(clock),
+      codec(codec),
+      readiness(readiness),
+      routes(routes),
+      roster(roster),
+      executor(executor) {}
+
+void RelayPeerService::Handle(
+    std::shared_ptr<transport::HttpExchange> exchange) {
+  protocol::HttpRequest request = exchange->Request();
+  const state::Result<protocol::DelegationHeader, protocol::ProtocolErrorCode>
+      delegation = protocol::TakeDelegationHeader(request);
+  if (state::IsOk(delegation)) {
+    this->HandleDelegated(exchange, request, state::ValueOf(delegation));
+  } else if (state::ErrorOf(delegation) !=
+             protocol::ProtocolErrorCode::kMissing) {
+    exchange->Respond(Decline("hop_version"));
+  } else if (request.target == protocol::kFleetLivePath) {
+    exchange->Respond({});
+  } else if (request.target == protocol::kAdvertsPath) {
+    exchange->Respond(this->ExchangeAdverts(request.body));
+  } else {
+    exchange->Respond(Status(kHttpNotFound));
+  }
+}
+
+void RelayPeerService::HandleDelegated(
+    const std::shared_ptr<transport::HttpExchange>& exchange,
+    const protocol::HttpRequest& request,
+    const protocol::DelegationHeader& delegation) {
+  if (!this->readiness.IsReady()) {
+    exchange->Respond(Decline("not_ready"));
+    return;
+  }
+  const state::RouteTablePtr table = this->routes.Current();
+  if (table == nullptr || table->Version() != delegation.routes_version) {
+    exchange->Respond(Decline("routes_version"));
+    return;
+  }
+  state::RelayRequest decoded = this->codec.DecodeRequest(
+      request, this->clock.Now() - delegation.elapsed);
+  decoded.outside_time = delegation.outside_time;
+  const std::string id = decoded.id;
+  const std::uint64_t run_number = this->executor.Run(
+      std::move(decoded),
+      [this, exchange, id](const coordination::RelayAnswer& answer) {
+        exchange->Respond(this->codec.EncodeAnswer(answer, id));
+      });
+  if (run_number == coordination::RelayRunner::kNoRun) return;
+  exchange->OnClosed([this, run_number] { this->executor.Cancel(run_number); });
+}
+
+protocol::HttpResponse RelayPeerService::ExchangeAdverts(
+    const std::string& body) {
+  const state::Result<std::vector<state::HostAdvert>, protocol::ProtocolError>
+      adverts = protocol::DecodeAdverts(body);
+  if (!state::IsOk(adverts) || state::ValueOf(adverts).empty()) {
+    return Status(kHttpBadRequest);
+  }
+  const state::TimePoint now = this->clock.Now();
+  const state::HostAdvert& sender = state::ValueOf(adverts).front();
+  this->roster.Hear(sender, now);
+  protocol::HttpResponse response;
+  response.body = protocol::EncodeAdverts(
+      this->roster.Adverts(sender.domain, this->readiness.IsReady(), now));
+  return response;
+}
+
+}  // namespace banyanknot::daemons
--- a/daemons/relay_settings.cc
+++ b/daemons/relay_settings.cc
@@ -31,10 +31,27 @@
   settings.ready_listen = ReadEndpoint(reader, "ready_listen");
   settings.metrics_listen = ReadEndpoint(reader, "metrics_listen");
   settings.source = ReadEndpoint(reader, "source");
+  if (!reader.AnyOrNull("peer_listen").is_null()) {
+    settings.peer_listen = ReadEndpoint(reader, "peer_listen");
+  }
+  for (const nlohmann::json& seed : reader.ArrayOrEmpty("seeds")) {
+    const std::optional<state::Endpoint> endpoint =
+        state::EndpointFromText(seed.get<std::string>());
+    if (endpoint) {
+      settings.seeds.push_back(*endpoint);
+    } else {
+      reader.Fail(protocol::ProtocolErrorCode::kMalformed, "seeds",
+                  "must be address:port with a port of at most 65535");
+    }
+  }
   settings.source_contact_timeout = reader.MillisecondsOr(
       "source_contact_ms", settings.source_contact_timeout);
   settings.threads = static_cast<std::size_t>(
       reader.UnsignedOr("threads", settings.threads, kMaxThreads));
+  settings.cores = reader.AnyOrNull("core_share").is_number()
+                       ? reader.AnyOrNull("core_share").get<double>() *
+                             static_cast<double>(settings.threads)
+                       : settings.cores;
   settings.leave_grace =
       reader.MillisecondsOr("leave_grace_ms", settings.leave_grace);
   settings.stop_timeout =
--- a/daemons/relay_settings.h
+++ b/daemons/relay_settings.h
@@ -2,6 +2,7 @@
 #define BANYANKNOT_DAEMONS_RELAY_SETTINGS_H_
 
 #include <cstddef>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -22,6 +23,10 @@
   state::Endpoint ready_listen;
   state::Endpoint metrics_listen;
   state::Endpoint source;  ///< publishes routes and servers
+  /// For other hosts; without it, this host works alone.
+  std::optional<state::Endpoint> peer_listen;
+  std::vector<state::Endpoint> seeds;  ///< of some hosts; may be stale
+  double cores = 1;                    ///< processor share of this host
   /// Max. time to detect a source that stopped responding.
   state::Duration source_contact_timeout = state::Milliseconds(4'000);
   std::size_t threads = 1;
--- a/daemons/relay_stop_target.h
+++ b/daemons/relay_stop_target.h
@@ -16,9 +16,12 @@
   using StoppedHandler =
       std::function<void(coordination::StopPhase, std::size_t)>;
 
+  /// \param server serves callers
+  /// \param peer_server serves other hosts
   RelayStopTarget(const coordination::RelayExecutor& executor,
-                  transport::HttpServer& server)
-      : executor(executor), server(server) {}
+                  transport::HttpServer& server,
+                  transport::HttpServer& peer_server)
+      : executor(executor), server(server), peer_server(peer_server) {}
 
   /// \brief Sets the handler that is called once the shutdown has ended. Must
   /// be called before the shutdown begins.
@@ -27,9 +30,13 @@
   }
 
   void AnnounceLeaving() override { this->server.DisableKeepAlive(); }
-  void StopAccepting() override { this->server.Shutdown(); }
+  void StopAccepting() override {
+    this->server.Shutdown();
+    this->peer_server.Shutdown();
+  }
   std::size_t InFlight() const override {
-    return this->executor.Unanswered() + this->server.Connections();
+    return this->executor.Unanswered() + this->server.Connections() +
+           this->peer_server.Connections();
   }
   void OnStopped(coordination::StopPhase phase,
                  std::size_t remaining) override {
@@ -39,6 +46,7 @@
  private:
   const coordination::RelayExecutor& executor;
   transport::HttpServer& server;
+  transport::HttpServer& peer_server;
   StoppedHandler handler;
 };
 
--- a/include/banyanknot/coordination/event_code.h
+++ b/include/banyanknot/coordination/event_code.h
@@ -31,6 +31,7 @@
   kHostLifecycle = 3004,
   kRequestAnswered = 4001,
   kRequestNotWhole = 4002,
+  kDelegationFailed = 4003,
   kRoutesInForce = 5001,
   kServerRegistered = 5002,
   kServerRemoved = 5003,
@@ -54,7 +55,7 @@
 };
 
 /// \brief Every event, ordered by number.
-inline constexpr std::array<EventDescription, 30> kEventDescriptions{{
+inline constexpr std::array<EventDescription, 31> kEventDescriptions{{
     {EventCode::kHostStarting, "host_starting", LogSeverity::kInfo,
      "The process has read its settings and is starting."},
     {EventCode::kHostListening, "host_listening", LogSeverity::kInfo,
@@ -91,6 +92,8 @@
      "A request got a server's reply or a whole answer; sampled."},
     {EventCode::kRequestNotWhole, "request_not_whole", LogSeverity::kWarning,
      "A request got a partial answer, a failure or a refusal."},
+    {EventCode::kDelegationFailed, "delegation_failed", LogSeverity::kWarning,
+     "Another host gave no answer to a gather that it was passed."},
     {EventCode::kRoutesInForce, "routes_in_force", LogSeverity::kInfo,
      "A version of the routes came into force on this host."},
     {EventCode::kServerRegistered, "server_registered", LogSeverity::kInfo,
--- a/include/banyanknot/coordination/routing/relay_deadlines.h
+++ b/include/banyanknot/coordination/routing/relay_deadlines.h
@@ -8,6 +8,11 @@
 
 /// \brief The deadlines of one request.
 struct RelayDeadlines {
+  /// Connection setup, request and answer between a caller and this host, where
+  /// they are not known.
+  static constexpr state::Duration kDefaultOutsideTime =
+      state::Milliseconds(14);
+
   state::TimePoint soft;  ///< partial answers are sent then
   state::TimePoint hard;  ///< later answers are useless
 
--- a/include/banyanknot/coordination/routing/relay_executor.h
+++ b/include/banyanknot/coordination/routing/relay_executor.h
@@ -13,6 +13,7 @@
 #include "banyanknot/coordination/routing/capacity_queue.h"
 #include "banyanknot/coordination/routing/relay_journal.h"
 #include "banyanknot/coordination/routing/relay_run.h"
+#include "banyanknot/coordination/routing/relay_runner.h"
 #include "banyanknot/coordination/routing/route_directory.h"
 #include "banyanknot/coordination/routing/server_health_checker.h"
 #include "banyanknot/coordination/routing/split_chooser.h"
@@ -21,30 +22,21 @@
 
 namespace banyanknot::coordination {
 
-using RelayAnswerHandler = std::function<void(const RelayAnswer&)>;
-
 /// \brief Runs relayed and gathered requests: passes events to each RelayRun
 /// and applies its effects.
 ///
 /// Runs are kept in a sharded table. The events of a run are handled by one
 /// thread at a time, with no shard locked. Thread-safe.
-class RelayExecutor {
+class RelayExecutor : public RelayRunner {
  public:
-  static constexpr std::uint64_t kNoRun = 0;
-
   RelayExecutor(const Clock& clock, TimerService& timers, RelayClient& client,
                 const RouteDirectory& routes, RelayPolicies policies,
                 CapacityQueue& queue, ServerHealthChecker& checker,
                 RelayJournal& journal);
 
-  /// \brief Starts a request.
-  /// \param handler called exactly once, possibly before Run() returns; not
-  ///     called for a cancelled request
-  /// \returns the run number for Cancel(); kNoRun if rejected at once
-  std::uint64_t Run(state::RelayRequest request, RelayAnswerHandler handler);
-
-  /// \brief Cancels a request whose caller has disconnected.
-  void Cancel(std::uint64_t number);
+  std::uint64_t Run(state::RelayRequest request,
+                    RelayAnswerHandler handler) override;
+  void Cancel(std::uint64_t number) override;
 
   /// \brief Returns the number of requests without an answer.
   std::size_t Unanswered() const { return this->unanswered; }
--- /dev/null
+++ b/include/banyanknot/protocol/fleet_codec.h
@@ -0,0 +1,55 @@
+#ifndef BANYANKNOT_PROTOCOL_FLEET_CODEC_H_
+#define BANYANKNOT_PROTOCOL_FLEET_CODEC_H_
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "banyanknot/coordination/delegation/host_link.h"
+#include "banyanknot/protocol/http_message.h"
+#include "banyanknot/protocol/protocol_error.h"
+#include "banyanknot/state/result.h"
+#include "banyanknot/state/routing/host_advert.h"
+
+namespace banyanknot::protocol {
+
+/// \file
+/// \brief Messages between relay hosts: adverts, and requests passed on.
+
+/// \brief Path at which a relay host takes adverts and returns its own (POST).
+inline constexpr const char* kAdvertsPath = "/fleet/adverts";
+/// \brief Path at which a relay host shows that a connection works (GET).
+inline constexpr const char* kFleetLivePath = "/fleet/live";
+/// \brief Header of a reply to a request that was not started; says why.
+inline constexpr const char* kDeclinedHeader = "Banyanknot-Declined";
+
+/// \brief Writes adverts; the first is the sender's.
+std::string EncodeAdverts(const std::vector<state::HostAdvert>& adverts);
+
+/// \brief Reads the output of EncodeAdverts().
+/// \returns at most kMaxAdverts adverts, or the first error found
+state::Result<std::vector<state::HostAdvert>, ProtocolError> DecodeAdverts(
+    const std::string& text);
+inline constexpr std::size_t kMaxAdverts = 16;
+
+/// \brief What one host says of a request that it passes to another.
+struct DelegationHeader {
+  std::uint64_t routes_version = 0;
+  state::Duration elapsed{0};       ///< since the first host received it
+  state::Duration outside_time{0};  ///< as in state::RelayRequest
+};
+
+/// \brief Adds the headers for another host to a request.
+void AddDelegationHeader(const DelegationHeader& delegation,
+                         HttpRequest& request);
+
+/// \brief Removes the headers of AddDelegationHeader() from a request.
+/// \returns them; kMissing for a request without them; kMalformed for those of
+///     another protocol version or with unreadable numbers
+state::Result<DelegationHeader, ProtocolErrorCode> TakeDelegationHeader(
+    HttpRequest& request);
+
+}  // namespace banyanknot::protocol
+
+#endif  // BANYANKNOT_PROTOCOL_FLEET_CODEC_H_
--- a/include/banyanknot/protocol/relay_codec.h
+++ b/include/banyanknot/protocol/relay_codec.h
@@ -30,6 +30,10 @@
   /// \param remaining time left until the deadline, as stated to the server
   virtual HttpRequest EncodeSend(const coordination::RelaySend& send,
                                  state::Duration remaining) const = 0;
+  /// \brief Encodes a caller's request for another host, which decodes it by
+  /// DecodeRequest().
+  virtual HttpRequest EncodeDelegated(
+      const state::RelayRequest& request) const = 0;
   /// \brief Decodes a backend server's reply to request `request_id`.
   virtual coordination::RelayReply DecodeReply(
       HttpResponse response, const std::string& request_id) const = 0;
--- a/include/banyanknot/state/routing/relay_request.h
+++ b/include/banyanknot/state/routing/relay_request.h
@@ -1,6 +1,7 @@
 #ifndef BANYANKNOT_STATE_ROUTING_RELAY_REQUEST_H_
 #define BANYANKNOT_STATE_ROUTING_RELAY_REQUEST_H_
 
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -19,6 +20,9 @@
   std::string body;
   Duration deadline{0};  ///< caller's time limit, from `received_at`
   TimePoint received_at;
+  /// Time of the request that passes outside this host, between the caller's
+  /// start and `received_at` and on the answer's way back; nothing if unknown.
+  std::optional<Duration> outside_time;
 };
 
 }  // namespace banyanknot::state
--- /dev/null
+++ b/src/coordination/delegation/advert_exchange.cc
@@ -0,0 +1,109 @@
+#include "banyanknot/coordination/delegation/advert_exchange.h"
+
+#include <algorithm>
+#include <optional>
+#include <utility>
+
+namespace banyanknot::coordination {
+namespace {
+
+/// Several rounds within GathererRoster::kLifetime.
+constexpr std::int64_t kIntervalMs = 1'000;
+/// While no host of the domain is roomier than others.
+constexpr std::int64_t kIdleIntervalMs = 4'000;
+/// A host that knows gatherers also asks a seed in one of this many rounds, to
+/// hear of new ones.
+constexpr std::uint64_t kSeedRoundInterval = 8;
+
+}  // namespace
+
+AdvertExchange::AdvertExchange(const Clock& clock, TimerService& timers,
+                               RandomSource& random, HostLink& link,
+                               GathererRoster& roster,
+                               const Readiness& readiness,
+                               std::vector<state::Endpoint> seeds)
+    : clock(clock),
+      timers(timers),
+      random(random),
+      link(link),
+      roster(roster),
+      readiness(readiness),
+      seeds(std::move(seeds)) {}
+
+void AdvertExchange::Start() {
+  if (!this->seeds.empty()) this->RunRound();
+}
+
+void AdvertExchange::RunRound() {
+  const state::TimePoint now = this->clock.Now();
+  for (const state::Endpoint& target : this->Targets(now)) this->Ask(target);
+  this->timers.RunAt(now + this->NextInterval(now),
+                     [this] { this->RunRound(); });
+}
+
+bool AdvertExchange::IsRoomiest(state::TimePoint now) const {
+  const state::HostAdvert& own = this->roster.Own();
+  for (const state::HostAdvert& other :
+       this->roster.Adverts(own.domain, false, now)) {
+    if (other.cores > own.cores) return false;
+  }
+  return true;
+}
+
+std::vector<state::Endpoint> AdvertExchange::Targets(state::TimePoint now) {
+  std::vector<state::Endpoint> targets;
+  const std::vector<state::HostAdvert> gatherers = this->roster.Gatherers(now);
+  if (!gatherers.empty()) {
+    for (const state::HostAdvert& gatherer : gatherers) {
+      targets.push_back(gatherer.endpoint);
+    }
+    if (!this->seeds.empty() && this->random.Below(kSeedRoundInterval) == 0) {
+      targets.push_back(this->seeds[this->random.Below(this->seeds.size())]);
+    }
+    return targets;
+  }
+  targets = this->seeds;
+  if (!this->IsRoomiest(now)) return targets;
+  const state::HostAdvert& own = this->roster.Own();
+  for (const state::HostAdvert& other :
+       this->roster.Adverts(own.domain, false, now)) {
+    if (other.id != own.id) targets.push_back(other.endpoint);
+  }
+  return targets;
+}
+
+state::Duration AdvertExchange::NextInterval(state::TimePoint now) {
+  const state::HostAdvert& own = this->roster.Own();
+  const std::vector<state::HostAdvert> known =
+      this->roster.Adverts(own.domain, false, now);
+  const bool are_equal = std::all_of(known.begin(), known.end(),
+                                     [&own](const state::HostAdvert& other) {
+                                       return other.cores == own.cores;
+                                     });
+  const bool knows_others = known.size() > 1;
+  const std::int64_t interval =
+      knows_others && are_equal ? kIdleIntervalMs : kIntervalMs;
+  return state::Milliseconds(interval / 2 +
+                             static_cast<std::int64_t>(this->random.Below(
+                                 static_cast<std::uint64_t>(interval))));
+}
+
+void AdvertExchange::Ask(const state::Endpoint& host) {
+  const state::TimePoint sent_at = this->clock.Now();
+  state::HostAdvert own = this->roster.Own();
+  own.takes_work = this->readiness.IsReady();
+  if (host == own.endpoint) return;
+  this->link.ExchangeAdverts(
+      host, own,
+      [this, host,
+       sent_at](const std::optional<std::vector<state::HostAdvert>>& adverts) {
+        if (!adverts) return;
+        const state::TimePoint now = this->clock.Now();
+        for (const state::HostAdvert& advert : *adverts) {
+          this->roster.Hear(advert, now);
+          if (advert.endpoint == host) this->roster.Clear(advert.id, sent_at);
+        }
+      });
+}
+
+}  // namespace banyanknot::coordination
--- /dev/null
+++ b/src/coordination/delegation/gatherer_roster.cc
@@ -0,0 +1,128 @@
+#include "banyanknot/coordination/delegation/gatherer_roster.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "banyanknot/coordination/fleet/rendezvous.h"
+
+namespace banyanknot::coordination {
+namespace {
+
+/// Orders the hosts of a domain, roomiest first; ties are broken alike on all
+/// hosts.
+bool IsRoomier(const state::HostAdvert& left, const state::HostAdvert& right) {
+  if (left.cores != right.cores) return left.cores > right.cores;
+  return left.id < right.id;
+}
+
+}  // namespace
+
+void GathererRoster::RemoveLapsed(DomainEntries& entries,
+                                  state::TimePoint now) const {
+  for (auto entry = entries.begin(); entry != entries.end();) {
+    entry = now - entry->second.said_at >= kLifetime ? entries.erase(entry)
+                                                     : std::next(entry);
+  }
+}
+
+void GathererRoster::Hear(const state::HostAdvert& advert,
+                          state::TimePoint now) {
+  if (advert.id == this->own.id || advert.age >= kLifetime) return;
+  const state::TimePoint said_at = now - advert.age;
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  if (this->domains.size() >= kMaxDomains &&
+      this->domains.count(advert.domain) == 0) {
+    return;
+  }
+  DomainEntries& entries = this->domains[advert.domain];
+  this->RemoveLapsed(entries, now);
+  Entry& entry = entries[advert.id];
+  if (entry.said_at >= said_at) return;
+  entry.advert = advert;
+  entry.said_at = said_at;
+  if (entries.size() <= kMaxPerDomain) return;
+  const auto smallest = std::max_element(
+      entries.begin(), entries.end(), [](const auto& left, const auto& right) {
+        return IsRoomier(left.second.advert, right.second.advert);
+      });
+  entries.erase(smallest);
+}
+
+std::vector<state::HostAdvert> GathererRoster::Adverts(
+    const state::FailureDomainId& domain, bool takes_work,
+    state::TimePoint now) const {
+  std::vector<state::HostAdvert> adverts;
+  if (domain == this->own.domain) {
+    adverts.push_back(this->own);
+    adverts.back().takes_work = takes_work;
+  }
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  const auto found = this->domains.find(domain);
+  if (found == this->domains.end()) return adverts;
+  for (const auto& [id, entry] : found->second) {
+    const state::Duration age = now - entry.said_at;
+    if (age >= kLifetime) continue;
+    adverts.push_back(entry.advert);
+    adverts.back().age = age;
+  }
+  return adverts;
+}
+
+bool GathererRoster::MayGatherHere(const Entry& entry,
+                                   state::TimePoint now) const {
+  return entry.advert.takes_work && now - entry.said_at < kLifetime &&
+         entry.advert.cores >= kRoomFactor * this->own.cores;
+}
+
+std::vector<state::HostAdvert> GathererRoster::Gatherers(
+    state::TimePoint now) const {
+  std::vector<state::HostAdvert> gatherers;
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  const auto found = this->domains.find(this->own.domain);
+  if (found == this->domains.end()) return gatherers;
+  for (const auto& [id, entry] : found->second) {
+    if (this->MayGatherHere(entry, now)) gatherers.push_back(entry.advert);
+  }
+  return gatherers;
+}
+
+std::optional<state::HostAdvert> GathererRoster::PickGatherer(
+    state::TimePoint now) const {
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  const auto found = this->domains.find(this->own.domain);
+  if (found == this->domains.end()) return std::nullopt;
+  std::vector<state::HostId> candidates;
+  for (const auto& [id, entry] : found->second) {
+    if (!entry.suspected_at && this->MayGatherHere(entry, now)) {
+      candidates.push_back(id);
+    }
+  }
+  for (const state::HostId& id : candidates) {
+    if (RendezvousRank(this->own.id.Text(), id, candidates) == 0) {
+      return found->second.at(id).advert;
+    }
+  }
+  return std::nullopt;
+}
+
+void GathererRoster::Suspect(const state::HostId& host, state::TimePoint now) {
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  const auto found = this->domains.find(this->own.domain);
+  if (found == this->domains.end()) return;
+  const auto entry = found->second.find(host);
+  if (entry != found->second.end()) entry->second.suspected_at = now;
+}
+
+void GathererRoster::Clear(const state::HostId& host,
+                           state::TimePoint sent_at) {
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  const auto found = this->domains.find(this->own.domain);
+  if (found == this->domains.end()) return;
+  const auto entry = found->second.find(host);
+  if (entry == found->second.end()) return;
+  if (entry->second.suspected_at && *entry->second.suspected_at <= sent_at) {
+    entry->second.suspected_at.reset();
+  }
+}
+
+}  // namespace banyanknot::coordination
--- a/src/coordination/routing/relay_deadlines.cc
+++ b/src/coordination/routing/relay_deadlines.cc
@@ -5,9 +5,6 @@
 namespace banyanknot::coordination {
 namespace {
 
-/// The caller's connection setup and network round trip, which count towards
-/// the objective but can't be observed here.
-constexpr state::Duration kCallerOverhead = state::Milliseconds(14);
 /// Reserved for the answer's way back before the caller times out.
 constexpr state::Duration kReplyMargin = state::Milliseconds(12);
 
@@ -20,8 +17,10 @@
       std::max(request.deadline - kReplyMargin, request.deadline / 2);
   RelayDeadlines deadlines;
   deadlines.hard = start + std::min(caller_timeout, route.timeout);
+  const state::Duration outside_time =
+      request.outside_time.value_or(RelayDeadlines::kDefaultOutsideTime);
   deadlines.soft =
-      start + std::max(route.objective - kCallerOverhead, route.objective / 2);
+      start + std::max(route.objective - outside_time, route.objective / 2);
   deadlines.soft = std::min(deadlines.soft, deadlines.hard);
   return deadlines;
 }
--- a/src/transport/backend_http_client.cc
+++ b/src/transport/backend_http_client.cc
@@ -9,8 +9,6 @@
 namespace banyanknot::transport {
 namespace {
 
-constexpr std::size_t kMaxReplyBytes = 16u << 20;
-
 constexpr state::Duration kCancelTimeout = state::Milliseconds(200);
 
 coordination::BackendResult ToBackendResult(const HttpCallResult& result) {
@@ -34,7 +32,7 @@
   call.send_before = std::min(request.send_before, request.deadline);
   call.deadline = request.deadline;
   call.is_idempotent = request.is_idempotent;
-  call.max_response_bytes = kMaxReplyBytes;
+  call.max_response_bytes = protocol::kMaxSubReplyBytes;
   this->pools.Of(request.server, request.endpoint)
       .requests->Call(std::move(call), [handler = std::move(handler)](
                                            const HttpCallResult& result) {
--- /dev/null
+++ b/src/transport/host_http_link.cc
@@ -0,0 +1,133 @@
+#include "banyanknot/transport/host_http_link.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "banyanknot/protocol/fleet_codec.h"
+#include "banyanknot/protocol/hop_headers.h"
+#include "transport/pooled_call.h"
+
+namespace banyanknot::transport {
+namespace {
+
+constexpr std::size_t kMaxConnectionsPerHost = 16;
+constexpr std::size_t kMaxAnswerBytes = 1u << 20;
+constexpr state::Duration kIdleLifetime = state::Milliseconds(10'000);
+/// Hosts of one failure domain are a fraction of a millisecond apart; one that
+/// takes longer is gone or too busy to help.
+constexpr state::Duration kConnectTimeout = state::Milliseconds(25);
+constexpr state::Duration kCheckAfterInactivity = state::Milliseconds(2'500);
+constexpr state::Duration kCheckTimeout = state::Milliseconds(25);
+/// Of an exchange of adverts, also with hosts of other failure domains.
+constexpr state::Duration kExchangeTimeout = state::Milliseconds(500);
+constexpr state::Duration kSilenceDetectionOff = state::Milliseconds(3'600'000);
+constexpr unsigned kHttpOk = 200;
+
+coordination::DelegationFailure FailureOf(TransportError error) {
+  switch (error) {
+    case TransportError::kConnect:
+    case TransportError::kResolve:
+    case TransportError::kExpired:
+    case TransportError::kLimit:
+    case TransportError::kWithdrawn:
+      return coordination::DelegationFailure::kUnreachable;
+    case TransportError::kTimeout:
+      return coordination::DelegationFailure::kTimeout;
+    default:
+      return coordination::DelegationFailure::kLost;
+  }
+}
+
+coordination::DelegationResult ToDelegationResult(
+    HttpCallResult result, const protocol::RelayCodec& codec,
+    const std::string& request_id) {
+  if (!state::IsOk(result)) return FailureOf(state::ErrorOf(result));
+  protocol::HttpResponse response = state::TakeValue(std::move(result));
+  if (!protocol::HeaderValue(response.headers, protocol::kDeclinedHeader)
+           .empty()) {
+    return coordination::DelegationFailure::kDeclined;
+  }
+  coordination::RelayReply reply =
+      codec.DecodeReply(std::move(response), request_id);
+  if (reply.is_other_request) return coordination::DelegationFailure::kLost;
+  return reply;
+}
+
+}  // namespace
+
+HostHttpLink::HostHttpLink(boost::asio::io_context& context,
+                           const coordination::Clock& clock,
+                           const protocol::RelayCodec& codec,
+                           std::shared_ptr<ReceiveBudget> receive_budget)
+    : context(context),
+      clock(clock),
+      codec(codec),
+      receive_budget(std::move(receive_budget)) {}
+
+HostHttpLink::PoolPtr HostHttpLink::PoolOf(const state::Endpoint& host) {
+  return this->pools.Update(ToText(host), [&](PoolPtr& pool) {
+    if (pool == nullptr) {
+      HttpPoolOptions options;
+      options.limits = {kMaxConnectionsPerHost, kMaxConnectionsPerHost};
+      options.max_queued_calls = kMaxConnectionsPerHost;
+      options.idle_lifetime = kIdleLifetime;
+      options.silence_timeout = kSilenceDetectionOff;
+      options.check_target = protocol::kFleetLivePath;
+      options.check_after_inactivity = kCheckAfterInactivity;
+      options.check_timeout = kCheckTimeout;
+      options.watches_idle = false;
+      options.receive_budget = this->receive_budget;
+      pool = std::make_shared<HttpConnectionPool>(this->context, this->clock,
+                                                  host, std::move(options));
+    }
+    return pool;
+  });
+}
+
+std::shared_ptr<coordination::RelayCall> HostHttpLink::Delegate(
+    const state::Endpoint& host, coordination::DelegatedRequest request,
+    coordination::DelegationHandler handler) {
+  const state::TimePoint now = this->clock.Now();
+  HttpCall call;
+  call.request = this->codec.EncodeDelegated(*request.request);
+  protocol::AddDelegationHeader(
+      {request.routes_version, now - request.request->received_at,
+       request.request->outside_time.value_or(state::Duration(0))},
+      call.request);
+  call.send_before = now + kConnectTimeout;
+  call.deadline = request.deadline;
+  call.max_response_bytes = kMaxAnswerBytes;
+  const PoolPtr pool = this->PoolOf(host);
+  HttpCallHandle handle = pool->Call(
+      std::move(call), [this, id = request.request->id,
+                        handler = std::move(handler)](HttpCallResult result) {
+        handler(ToDelegationResult(std::move(result), this->codec, id));
+      });
+  return std::make_shared<internal::PooledCall>(pool, std::move(handle));
+}
+
+void HostHttpLink::ExchangeAdverts(const state::Endpoint& host,
+                                   const state::HostAdvert& own,
+                                   coordination::AdvertsHandler handler) {
+  HttpCall call;
+  call.request = {"POST", protocol::kAdvertsPath,
+                  protocol::EncodeAdverts({own})};
+  call.deadline = this->clock.Now() + kExchangeTimeout;
+  call.send_before = call.deadline;
+  this->PoolOf(host)->Call(std::move(call), [handler = std::move(handler)](
+                                                const HttpCallResult& result) {
+    if (!state::IsOk(result) || state::ValueOf(result).status != kHttpOk) {
+      handler(std::nullopt);
+      return;
+    }
+    state::Result<std::vector<state::HostAdvert>, protocol::ProtocolError>
+        adverts = protocol::DecodeAdverts(state::ValueOf(result).body);
+    if (!state::IsOk(adverts)) {
+      handler(std::nullopt);
+      return;
+    }
+    handler(state::TakeValue(std::move(adverts)));
+  });
+}
+
+}  // namespace banyanknot::transport
--- a/src/transport/relay_http_client.cc
+++ b/src/transport/relay_http_client.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "transport/pooled_call.h"
+
 namespace banyanknot::transport {
 namespace {
 
@@ -44,18 +46,6 @@
   }
 }
 
-/// \brief A call of a pool, which it keeps alive.
-class PooledCall : public coordination::RelayCall {
- public:
-  PooledCall(std::shared_ptr<HttpConnectionPool> pool, HttpCallHandle handle)
-      : pool(std::move(pool)), handle(std::move(handle)) {}
-  void Cancel() override { this->pool->Cancel(this->handle); }
-
- private:
-  const std::shared_ptr<HttpConnectionPool> pool;
-  const HttpCallHandle handle;
-};
-
 }  // namespace
 
 RelayHttpClient::RelayHttpClient(boost::asio::io_context& context,
@@ -111,7 +101,7 @@
         notices->OnNotice(reply.notice, this->clock.Now());
         handler(std::move(reply));
       });
-  return std::make_shared<PooledCall>(pool, std::move(handle));
+  return std::make_shared<internal::PooledCall>(pool, std::move(handle));
 }
 
 void RelayHttpClient::CheckHealth(coordination::HealthCheck check,
--- a/src/transport/server_connection.cc
+++ b/src/transport/server_connection.cc
@@ -216,8 +216,8 @@
                                 bool keep_alive) {
   beast::error_code ignored;
   this->stream.socket().cancel(ignored);  // ends the wait for a close
-  keep_alive = keep_alive && !this->server->is_shut_down &&
-               this->server->allows_keep_alive;
+  keep_alive = keep_alive && !response.closes_connection &&
+               !this->server->is_shut_down && this->server->allows_keep_alive;
   this->response = ToBeast(response, keep_alive);
   this->stream.expires_after(this->limits.write_timeout);
   http::async_write(this->stream, this->response,
--- /dev/null
+++ b/test/platform/edge/edge_delegation_test.cc
@@ -0,0 +1,173 @@
+#include <catch2/catch.hpp>
+#include <csignal>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "platform/edge/edge_world.h"
+#include "platform/edge/raw_caller.h"
+#include "platform/wire_names.h"
+
+// Runs a small and a roomy edge program side by side: the small one passes its
+// gathers to the roomy one.
+namespace banyanknot::platform::edge_testing {
+namespace {
+
+using Response = RawCaller::Response;
+
+constexpr state::Duration kExitTimeout = state::Milliseconds(15'000);
+
+unsigned StatusOf(const std::optional<Response>& response) {
+  return response ? response->result_int() : 0;
+}
+
+/// An id as long as a record, of which gathered bodies consist.
+std::string RequestId(int number) {
+  std::string id = std::to_string(number);
+  return std::string(16 - id.size(), '0') + id;
+}
+
+struct DelegationWorld {
+  DelegationWorld()
+      : roomy("roomy", "a", world.Store().Address(), world.Ports()),
+        small("small", "a", world.Store().Address(), world.Ports()) {
+    this->roomy.JoinFleet({this->roomy.Peers()}, 0.5);
+    this->small.JoinFleet({this->roomy.Peers()}, 0.1);
+  }
+  void Start() {
+    this->roomy.Start();
+    this->small.Start();
+    REQUIRE(WaitFor(
+        [this] { return this->roomy.IsReady() && this->small.IsReady(); }));
+  }
+  /// Gathers through the small edge once.
+  std::optional<Response> Gather() {
+    RawCaller caller(this->small.Callers());
+    return caller.Call("/all/1", RequestId(++this->requests));
+  }
+  /// Returns the value of a metric of an edge; -1 if it can't be read.
+  static double Metric(const EdgeProcess& edge, const std::string& name) {
+    standins::BlockingHttpClient client(state::Milliseconds(2'000));
+    const transport::HttpCallResult result =
+        client.Call(edge.Metrics(), "GET", "/metrics", "");
+    if (!state::IsOk(result)) return -1;
+    const std::string& text = state::ValueOf(result).body;
+    const std::size_t found = text.find("\n" + name + " ");
+    if (found == std::string::npos) return -1;
+    return std::stod(text.substr(found + name.size() + 2));
+  }
+  double Delegated() const {
+    return Metric(this->small, "banyanknot_relay_delegated_requests_total");
+  }
+  bool WaitUntilDelegating() {
+    return WaitFor([this] {
+      const double before = this->Delegated();
+      return StatusOf(this->Gather()) == 200 && this->Delegated() > before;
+    });
+  }
+
+  EdgeWorld world;
+  EdgeProcess roomy;
+  EdgeProcess small;
+  int requests = 0;
+};
+
+TEST_CASE(
+    "A small edge passes gathers to a roomy one, and runs them if alone") {
+  DelegationWorld fleet;
+  fleet.Start();
+  REQUIRE(fleet.WaitUntilDelegating());
+  const std::optional<Response> whole = fleet.Gather();
+  REQUIRE(StatusOf(whole) == 200);
+  CHECK((*whole)[wire::kRequestId] == RequestId(fleet.requests));
+  CHECK((*whole)[wire::kMissingParts] == "0");
+  // Relayed requests stay where they are.
+  const double delegated = fleet.Delegated();
+  RawCaller caller(fleet.small.Callers());
+  CHECK(StatusOf(caller.Call("/desk/1", "relayed")) == 200);
+  CHECK(fleet.Delegated() == delegated);
+  fleet.roomy.Signal(SIGKILL);
+  REQUIRE(fleet.roomy.WaitForExit(kExitTimeout));
+  for (int index = 0; index < 20; ++index) {
+    CHECK(StatusOf(fleet.Gather()) == 200);
+  }
+}
+
+TEST_CASE("A planned stop of the gatherer loses no gather") {
+  DelegationWorld fleet;
+  fleet.Start();
+  REQUIRE(fleet.WaitUntilDelegating());
+  for (const std::size_t shard : {2, 3}) {
+    fleet.world.Server(shard).SetServiceTime(state::Milliseconds(100));
+  }
+  bool is_stopping = false;
+  for (int index = 0; index < 30; ++index) {
+    RawCaller caller(fleet.small.Callers());
+    caller.Write(RawCaller::Request("/all/1", RequestId(++fleet.requests)));
+    if (!is_stopping && index == 5) {
+      fleet.roomy.Signal(SIGTERM);
+      is_stopping = true;
+    }
+    CHECK(StatusOf(caller.Read()) == 200);
+  }
+  CHECK(fleet.roomy.WaitForExit(kExitTimeout) == 0);
+}
+
+TEST_CASE("A frozen gatherer costs only the gathers that it had") {
+  DelegationWorld fleet;
+  fleet.Start();
+  REQUIRE(fleet.WaitUntilDelegating());
+  fleet.roomy.Signal(SIGSTOP);
+  int lost = 0;
+  for (int index = 0; index < 20; ++index) {
+    const unsigned status = StatusOf(fleet.Gather());
+    CHECK((status == 200 || status == 504));
+    if (status != 200) ++lost;
+  }
+  CHECK(lost <= 1);
+  fleet.roomy.Signal(SIGCONT);
+  CHECK(fleet.WaitUntilDelegating());
+}
+
+TEST_CASE("A caller that leaves cancels its gather through both edges") {
+  DelegationWorld fleet;
+  fleet.Start();
+  REQUIRE(fleet.WaitUntilDelegating());
+  for (const std::size_t shard : {2, 3}) {
+    fleet.world.Server(shard).SetServiceTime(state::Milliseconds(1'500));
+  }
+  const std::string id = RequestId(++fleet.requests);
+  RawCaller caller(fleet.small.Callers());
+  caller.Write(RawCaller::Request("/all/1", id));
+  REQUIRE(WaitFor([&] { return fleet.world.Server(2).RunsOf(id) > 0; }));
+  const std::size_t abandoned = fleet.world.Server(2).AbandonedRequests();
+  caller.Close();
+  CHECK(WaitFor(
+      [&] { return fleet.world.Server(2).AbandonedRequests() > abandoned; }));
+}
+
+TEST_CASE("Edges with other routes in force don't gather for each other") {
+  DelegationWorld fleet;
+  fleet.Start();
+  REQUIRE(fleet.WaitUntilDelegating());
+  RawCaller peer(fleet.roomy.Peers());
+  const std::string head =
+      "GET /all/1 HTTP/1.1\r\nHost: desk.example\r\n" +
+      std::string(wire::kRequestId) + ": 0123456789abcdef\r\n" +
+      std::string(wire::kDeadline) + ": 900\r\nBanyanknot-Hop: 1\r\n" +
+      "Banyanknot-Elapsed-Us: 1000\r\nBanyanknot-Outside-Us: 14000\r\n";
+  peer.Write(head + "Banyanknot-Routes-Version: 99\r\n\r\n");
+  const std::optional<Response> declined = peer.Read();
+  REQUIRE(StatusOf(declined) == 503);
+  CHECK((*declined)["Banyanknot-Declined"] == "routes_version");
+  peer.Write(head + "Banyanknot-Routes-Version: 1\r\n\r\n");
+  CHECK(StatusOf(peer.Read()) == 200);
+  peer.Write(
+      "POST /fleet/adverts HTTP/1.1\r\nHost: x\r\nContent-Length: "
+      "3\r\n\r\n[[[");
+  CHECK(StatusOf(peer.Read()) == 400);
+  CHECK(StatusOf(fleet.Gather()) == 200);
+}
+
+}  // namespace
+}  // namespace banyanknot::platform::edge_testing
--- a/test/platform/edge/edge_world.cc
+++ b/test/platform/edge/edge_world.cc
@@ -42,16 +42,27 @@
       callers(AllocateEndpoint(ports)),
       ready(AllocateEndpoint(ports)),
       metrics(AllocateEndpoint(ports)),
+      peers(AllocateEndpoint(ports)),
       settings_path(this->folder.Path() + "/settings.json") {
-  const json settings = {{"id", id},
-                         {"domain", domain},
-                         {"caller_listen", ToText(this->callers)},
-                         {"ready_listen", ToText(this->ready)},
-                         {"metrics_listen", ToText(this->metrics)},
-                         {"source", ToText(store)},
-                         {"source_contact_ms", 4'000},
-                         {"leave_grace_ms", 200}};
-  std::ofstream(this->settings_path) << settings.dump();
+  this->settings = {{"id", id},
+                    {"domain", domain},
+                    {"caller_listen", ToText(this->callers)},
+                    {"ready_listen", ToText(this->ready)},
+                    {"metrics_listen", ToText(this->metrics)},
+                    {"source", ToText(store)},
+                    {"source_contact_ms", 4'000},
+                    {"leave_grace_ms", 200}};
+  std::ofstream(this->settings_path) << this->settings.dump();
+}
+
+void EdgeProcess::JoinFleet(const std::vector<state::Endpoint>& seeds,
+                            double core_share) {
+  json seed_texts = json::array();
+  for (const state::Endpoint& seed : seeds) seed_texts.push_back(ToText(seed));
+  this->settings["peer_listen"] = ToText(this->peers);
+  this->settings["seeds"] = std::move(seed_texts);
+  this->settings["core_share"] = core_share;
+  std::ofstream(this->settings_path) << this->settings.dump();
 }
 
 void EdgeProcess::Start() {
--- a/test/platform/edge/edge_world.h
+++ b/test/platform/edge/edge_world.h
@@ -28,6 +28,11 @@
   const state::Endpoint& Callers() const { return this->callers; }
   const state::Endpoint& ReadyAddress() const { return this->ready; }
   const state::Endpoint& Metrics() const { return this->metrics; }
+  const state::Endpoint& Peers() const { return this->peers; }
+  /// \brief Makes it work with other edges; before Start().
+  /// \param seeds peer addresses of some edges
+  /// \param core_share its processor share
+  void JoinFleet(const std::vector<state::Endpoint>& seeds, double core_share);
   const std::string& SettingsPath() const { return this->settings_path; }
 
   void Start();
@@ -51,7 +56,9 @@
   state::Endpoint callers;
   state::Endpoint ready;
   state::Endpoint metrics;
+  state::Endpoint peers;
   std::string settings_path;
+  nlohmann::json settings;
   std::unique_ptr<standins::ChildProcess> process;
 };
 
--- /dev/null
+++ b/test/protocol/fleet_codec_test.cc
@@ -0,0 +1,108 @@
+#include "banyanknot/protocol/fleet_codec.h"
+
+#include <rapidcheck.h>
+
+#include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+#include <string>
+
+#include "banyanknot/protocol/hop_headers.h"
+
+namespace banyanknot::protocol {
+namespace {
+
+using nlohmann::json;
+
+state::HostAdvert ExampleAdvert() {
+  state::HostAdvert advert;
+  advert.id = state::HostId("front-1");
+  advert.domain = state::FailureDomainId("a");
+  advert.endpoint = {"10.0.0.9", 8106};
+  advert.cores = 0.12;
+  advert.takes_work = true;
+  advert.age = state::Milliseconds(1'234);
+  return advert;
+}
+
+TEST_CASE("Adverts are read as they were written") {
+  const auto decoded = DecodeAdverts(EncodeAdverts({ExampleAdvert()}));
+  REQUIRE(state::IsOk(decoded));
+  REQUIRE(state::ValueOf(decoded).size() == 1);
+  const state::HostAdvert& advert = state::ValueOf(decoded).front();
+  CHECK(advert.id.Text() == "front-1");
+  CHECK(advert.domain.Text() == "a");
+  CHECK(advert.endpoint == state::Endpoint{"10.0.0.9", 8106});
+  CHECK(advert.cores == Approx(0.12));
+  CHECK(advert.takes_work);
+  CHECK(advert.age == state::Milliseconds(1'234));
+}
+
+TEST_CASE("Adverts with an odd member are refused") {
+  const json valid =
+      json::parse(EncodeAdverts({ExampleAdvert()}))["adverts"][0];
+  struct Row {
+    const char* member;
+    json value;
+  };
+  for (const Row& row : std::vector<Row>{{"id", ""},
+                                         {"id", std::string(200, 'x')},
+                                         {"domain", 7},
+                                         {"endpoint", "10.0.0.9"},
+                                         {"endpoint", "10.0.0.9:0"},
+                                         {"endpoint", "10.0.0.9:70000"},
+                                         {"milli_cores", -1},
+                                         {"milli_cores", 1e300},
+                                         {"age_ms", -5},
+                                         {"age_ms", 9e18},
+                                         {"takes_work", "yes"}}) {
+    json advert = valid;
+    advert[row.member] = row.value;
+    INFO(advert.dump());
+    CHECK_FALSE(state::IsOk(DecodeAdverts(json{{"adverts", {advert}}}.dump())));
+  }
+  json many = json::array();
+  for (std::size_t index = 0; index <= kMaxAdverts; ++index) {
+    many.push_back(valid);
+  }
+  CHECK_FALSE(state::IsOk(DecodeAdverts(json{{"adverts", many}}.dump())));
+  CHECK_FALSE(state::IsOk(DecodeAdverts(std::string(100'000, '['))));
+}
+
+TEST_CASE("The delegation header is taken off as it was added") {
+  HttpRequest request;
+  request.headers = {{"Host", "h"}};
+  AddDelegationHeader({9, state::Milliseconds(3), state::Milliseconds(17)},
+                      request);
+  const auto taken = TakeDelegationHeader(request);
+  REQUIRE(state::IsOk(taken));
+  CHECK(state::ValueOf(taken).routes_version == 9);
+  CHECK(state::ValueOf(taken).elapsed == state::Milliseconds(3));
+  CHECK(state::ValueOf(taken).outside_time == state::Milliseconds(17));
+  CHECK(request.headers.size() == 1);
+  const auto again = TakeDelegationHeader(request);
+  REQUIRE_FALSE(state::IsOk(again));
+  CHECK(state::ErrorOf(again) == ProtocolErrorCode::kMissing);
+}
+
+TEST_CASE("A delegation of another version or with odd numbers is malformed") {
+  for (const char* name : {"Banyanknot-Hop", "Banyanknot-Routes-Version",
+                           "Banyanknot-Elapsed-Us", "Banyanknot-Outside-Us"}) {
+    for (const char* value : {"2x", "-1", "99999999999999999999999", "9e9"}) {
+      HttpRequest request;
+      AddDelegationHeader({9, {}, {}}, request);
+      RemoveHeader(request.headers, name);
+      request.headers.push_back({name, value});
+      INFO(name << ": " << value);
+      const auto taken = TakeDelegationHeader(request);
+      REQUIRE_FALSE(state::IsOk(taken));
+      CHECK(state::ErrorOf(taken) == ProtocolErrorCode::kMalformed);
+    }
+  }
+}
+
+TEST_CASE("Decoding arbitrary adverts never ends the process") {
+  rc::check([](const std::string& bytes) { DecodeAdverts(bytes); });
+}
+
+}  // namespace
+}  // namespace banyanknot::protocol
