Learn the way back by connection and by host

Change: the time outside the host follows the connection's round trip as the system measures it, twice for the first request of a connection; the host's own lateness at the moment to answer is followed at its 0.9 quantile.

Ruled out: a larger constant, as wrong elsewhere.

--- a/daemons/relay_application.cc
+++ b/daemons/relay_application.cc
@@ -109,7 +109,7 @@
         journal(log),
         executor(clock, timers, relay_client, routes,
                  {servers, extra_request_budget, hedge_delay, capacity_queue,
-                  retry_after},
+                  retry_after, answer_delay},
                  capacity_queue, health_checker, journal),
         intake(clock, timers, relay_client, routes, servers, health_checker,
                log),
@@ -167,6 +167,7 @@
   coordination::QuantileHedgeDelay hedge_delay;
   coordination::CapacityQueue capacity_queue;
   coordination::PacedRetryAfter retry_after;
+  coordination::LearnedAnswerDelay answer_delay;
   coordination::RelayJournal journal;
   coordination::RelayExecutor executor;
   coordination::RoutingIntake intake;
--- a/daemons/relay_front_service.cc
+++ b/daemons/relay_front_service.cc
@@ -3,6 +3,8 @@
 #include <string>
 #include <utility>
 
+#include "banyanknot/coordination/routing/relay_deadlines.h"
+
 namespace banyanknot::daemons {
 
 RelayFrontService::RelayFrontService(const coordination::Clock& clock,
@@ -15,6 +17,8 @@
     std::shared_ptr<transport::HttpExchange> exchange) {
   state::RelayRequest request =
       this->codec.DecodeRequest(exchange->Request(), this->clock.Now());
+  request.outside_time =
+      coordination::RelayDeadlines::OutsideTime(exchange->Connection());
   const std::string id = request.id;
   const std::uint64_t run_number = this->runner.Run(
       std::move(request),
--- a/include/banyanknot/coordination/routing/relay_policies.h
+++ b/include/banyanknot/coordination/routing/relay_policies.h
@@ -1,6 +1,7 @@
 #ifndef BANYANKNOT_COORDINATION_ROUTING_RELAY_POLICIES_H_
 #define BANYANKNOT_COORDINATION_ROUTING_RELAY_POLICIES_H_
 
+#include "banyanknot/coordination/routing/answer_delay.h"
 #include "banyanknot/coordination/routing/extra_request_budget.h"
 #include "banyanknot/coordination/routing/hedge_delay_policy.h"
 #include "banyanknot/coordination/routing/queueing_delay_estimator.h"
@@ -16,6 +17,7 @@
   HedgeDelayPolicy& hedges;
   QueueingDelayEstimator& delay_estimator;
   RetryAfterPolicy& retry_after;
+  AnswerDelayPolicy& answer_delay;
 };
 
 }  // namespace banyanknot::coordination
--- a/include/banyanknot/coordination/routing/relay_run.h
+++ b/include/banyanknot/coordination/routing/relay_run.h
@@ -87,6 +87,7 @@
   void EvaluateGather(state::TimePoint now, RelayEffects& effects);
   void EvaluateRelay(state::TimePoint now, RelayEffects& effects);
   void FailIfUnreachable(state::TimePoint now, RelayEffects& effects);
+  void RecordLateness(state::TimePoint now);
   void AnswerMerged(RelayEffects& effects);
   void AnswerReply(RelayReply reply, RelayEffects& effects);
   void Fail(state::RelayOutcome if_run, state::RelayReason reason,
@@ -106,6 +107,7 @@
   std::optional<RelayReply> reply;  // of a relayed request only
   state::TimePoint next_timer_at;   // the last one requested
   bool is_answered = false;
+  bool has_passed_soft = false;  // without enough parts for an answer
 };
 
 }  // namespace banyanknot::coordination
--- a/include/banyanknot/transport/http_server.h
+++ b/include/banyanknot/transport/http_server.h
@@ -9,6 +9,7 @@
 #include "banyanknot/protocol/http_message.h"
 #include "banyanknot/state/endpoint.h"
 #include "banyanknot/state/result.h"
+#include "banyanknot/state/routing/caller_connection.h"
 #include "banyanknot/transport/transport_error.h"
 
 namespace boost::asio {
@@ -25,6 +26,7 @@
  public:
   virtual ~HttpExchange() = default;
   virtual const protocol::HttpRequest& Request() const = 0;
+  virtual state::CallerConnection Connection() const = 0;
   /// \brief Sends the response; calls after the first have no effect.
   virtual void Respond(protocol::HttpResponse response) = 0;
   /// \brief Sets a handler that is called once if the caller closes the
--- a/src/coordination/delegation/relay_dispatcher.cc
+++ b/src/coordination/delegation/relay_dispatcher.cc
@@ -72,7 +72,7 @@
   request.outside_time =
       request.outside_time.value_or(RelayDeadlines::kDefaultOutsideTime) +
       kHopTime;
-  order->deadlines = RelayDeadlines::Of(request, *route);
+  order->deadlines = RelayDeadlines::Of(request, *route, state::Duration(0));
   order->request =
       std::make_shared<const state::RelayRequest>(std::move(request));
   order->handler = std::move(handler);
--- a/src/coordination/routing/relay_run.cc
+++ b/src/coordination/routing/relay_run.cc
@@ -46,7 +46,8 @@
       request(std::move(request)),
       table(std::move(table)),
       route(route),
-      deadlines(RelayDeadlines::Of(*this->request, route)),
+      deadlines(RelayDeadlines::Of(*this->request, route,
+                                   policies.answer_delay.AnswerDelay())),
       parts(std::move(services)),
       counts(InitialCounts(route, this->parts.All().size())),
       admission(policies, route, deadlines.hard),
@@ -298,6 +299,7 @@
   if (this->is_answered) return;
   if (this->route.IsGather()) {
     this->EvaluateGather(now, effects);
+    this->has_passed_soft = now >= this->deadlines.soft;
   } else {
     this->EvaluateRelay(now, effects);
   }
@@ -308,6 +310,7 @@
   const std::size_t parts_in = this->counts.parts_in;
   const bool has_min_parts = parts_in >= this->counts.min_parts;
   if (has_min_parts && (pending == 0 || now >= this->deadlines.soft)) {
+    this->RecordLateness(now);
     this->AnswerMerged(effects);
   } else if (parts_in + pending < this->counts.min_parts) {
     this->Fail(state::RelayOutcome::kFailed,
@@ -355,6 +358,13 @@
   }
 }
 
+/// Records how late a gather is ended that could have been ended at its soft
+/// deadline.
+void RelayRun::RecordLateness(state::TimePoint now) {
+  if (now < this->deadlines.soft || this->has_passed_soft) return;
+  this->policies.answer_delay.RecordLateness(now - this->deadlines.soft);
+}
+
 void RelayRun::AnswerMerged(RelayEffects& effects) {
   this->is_answered = true;
   RelayAnswer answer;
--- a/src/transport/server_connection.cc
+++ b/src/transport/server_connection.cc
@@ -1,5 +1,9 @@
 #include "transport/server_connection.h"
 
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
 #include <atomic>
 #include <boost/asio/post.hpp>
 #include <string_view>
@@ -24,10 +28,11 @@
 class ServerConnection::Exchange : public HttpExchange {
  public:
   Exchange(std::shared_ptr<ServerConnection> connection,
-           protocol::HttpRequest request, bool keep_alive)
+           protocol::HttpRequest request, bool keep_alive, bool is_first)
       : connection(std::move(connection)),
         request(std::move(request)),
-        keep_alive(keep_alive) {}
+        keep_alive(keep_alive),
+        is_first(is_first) {}
 
   ~Exchange() override {
     if (!this->is_answered.exchange(true)) this->connection->Abort();
@@ -37,6 +42,10 @@
     return this->request;
   }
 
+  state::CallerConnection Connection() const override {
+    return {this->connection->RoundTrip(), this->is_first};
+  }
+
   void Respond(protocol::HttpResponse response) override {
     if (this->is_answered.exchange(true)) return;
     this->TakeClosedHandler();
@@ -67,12 +76,24 @@
   const std::shared_ptr<ServerConnection> connection;
   const protocol::HttpRequest request;
   const bool keep_alive;
+  const bool is_first;
   std::atomic<bool> is_answered{false};
   std::mutex mutex;
   bool is_closed = false;
   std::function<void()> closed_handler;
 };
 
+std::optional<state::Duration> ServerConnection::RoundTrip() {
+  tcp_info info{};
+  socklen_t size = sizeof(info);
+  const int handle = this->stream.socket().native_handle();
+  if (getsockopt(handle, IPPROTO_TCP, TCP_INFO, &info, &size) != 0 ||
+      info.tcpi_rtt == 0) {
+    return std::nullopt;
+  }
+  return std::chrono::microseconds(info.tcpi_rtt);
+}
+
 void ServerConnection::ReadNext() {
   this->limits = this->server->Limits();
   this->is_busy = this->buffer.size() > 0;
@@ -183,7 +204,8 @@
   this->has_read_timed_out = false;
   const bool keep_alive = this->parser->keep_alive();
   const std::shared_ptr<Exchange> exchange = std::make_shared<Exchange>(
-      this->shared_from_this(), FromBeast(this->parser->release()), keep_alive);
+      this->shared_from_this(), FromBeast(this->parser->release()), keep_alive,
+      std::exchange(this->is_new, false));
   this->WatchForClose(exchange);
   this->server->handler.Handle(exchange);
 }
--- a/src/transport/server_connection.h
+++ b/src/transport/server_connection.h
@@ -53,6 +53,10 @@
                           [self = this->shared_from_this()] { self->Close(); });
   }
 
+  /// \brief Returns the system's estimate; nothing if it has none. Called on
+  /// the strand.
+  std::optional<state::Duration> RoundTrip();
+
   void Write(protocol::HttpResponse response, bool keep_alive) {
     boost::asio::dispatch(
         this->stream.get_executor(),
@@ -86,6 +90,7 @@
       parser;
   boost::beast::http::response<boost::beast::http::string_body> response;
   boost::asio::steady_timer read_timer;
+  bool is_new = true;    // until its first request is read
   bool is_busy = false;  // from the first byte of a request to its response
   bool has_read_timed_out = false;  // of the request
   bool is_rejected = false;         // further input is discarded
--- a/test/coordination/routing/relay_fixture.h
+++ b/test/coordination/routing/relay_fixture.h
@@ -181,7 +181,8 @@
              overrides.delay_estimator == nullptr ? this->queue
                                                   : *overrides.delay_estimator,
              overrides.retry_after == nullptr ? this->paced_retry_after
-                                              : *overrides.retry_after},
+                                              : *overrides.retry_after,
+             this->answer_delay},
             this->queue, this->checker, this->journal) {}
 
   static state::Route RelayRoute(bool is_idempotent,
@@ -305,6 +306,7 @@
   QuantileHedgeDelay quantile_hedges{0.92};
   CapacityQueue queue;
   PacedRetryAfter paced_retry_after{this->random};
+  FixedAnswerDelay answer_delay{Milliseconds(6)};
   RelayJournal journal{this->log};
   RoutingIntake intake{this->time,    this->time,    this->client, this->routes,
                        this->servers, this->checker, this->log};
