--- a/include/banyanknot/coordination/delegation/advert_exchange.h
+++ b/include/banyanknot/coordination/delegation/advert_exchange.h
@@ -33,7 +33,9 @@
  private:
   void RunRound();
   void Ask(const state::Endpoint& host);
-  bool IsRoomiest(state::TimePoint now) const;
+  /// \brief Returns true if all known hosts of the domain have the same room.
+  bool AreHostsAlike(state::TimePoint now) const;
+  bool KnowsOthers(state::TimePoint now) const;
   std::vector<state::Endpoint> Targets(state::TimePoint now);
   state::Duration NextInterval(state::TimePoint now);
 
--- a/src/coordination/delegation/advert_exchange.cc
+++ b/src/coordination/delegation/advert_exchange.cc
@@ -9,8 +9,9 @@
 
 /// Several rounds within GathererRoster::kLifetime.
 constexpr std::int64_t kIntervalMs = 1'000;
-/// While no host of the domain is roomier than others.
-constexpr std::int64_t kIdleIntervalMs = 4'000;
+/// While no host of the domain is known to be roomier than others; still well
+/// within the lifetime, since smaller hosts may exist that are not known.
+constexpr std::int64_t kIdleIntervalMs = 2'500;
 /// A host that knows gatherers also asks a seed in one of this many rounds, to
 /// hear of new ones.
 constexpr std::uint64_t kSeedRoundInterval = 8;
@@ -41,13 +42,19 @@
                      [this] { this->RunRound(); });
 }
 
-bool AdvertExchange::IsRoomiest(state::TimePoint now) const {
+bool AdvertExchange::AreHostsAlike(state::TimePoint now) const {
   const state::HostAdvert& own = this->roster.Own();
-  for (const state::HostAdvert& other :
-       this->roster.Adverts(own.domain, false, now)) {
-    if (other.cores > own.cores) return false;
-  }
-  return true;
+  const std::vector<state::HostAdvert> known =
+      this->roster.Adverts(own.domain, false, now);
+  return std::all_of(known.begin(), known.end(),
+                     [&own](const state::HostAdvert& other) {
+                       return other.cores == own.cores;
+                     });
+}
+
+bool AdvertExchange::KnowsOthers(state::TimePoint now) const {
+  const state::HostAdvert& own = this->roster.Own();
+  return this->roster.Adverts(own.domain, false, now).size() > 1;
 }
 
 std::vector<state::Endpoint> AdvertExchange::Targets(state::TimePoint now) {
@@ -63,7 +70,7 @@
     return targets;
   }
   targets = this->seeds;
-  if (!this->IsRoomiest(now)) return targets;
+  if (this->AreHostsAlike(now)) return targets;
   const state::HostAdvert& own = this->roster.Own();
   for (const state::HostAdvert& other :
        this->roster.Adverts(own.domain, false, now)) {
@@ -73,16 +80,8 @@
 }
 
 state::Duration AdvertExchange::NextInterval(state::TimePoint now) {
-  const state::HostAdvert& own = this->roster.Own();
-  const std::vector<state::HostAdvert> known =
-      this->roster.Adverts(own.domain, false, now);
-  const bool are_equal = std::all_of(known.begin(), known.end(),
-                                     [&own](const state::HostAdvert& other) {
-                                       return other.cores == own.cores;
-                                     });
-  const bool knows_others = known.size() > 1;
-  const std::int64_t interval =
-      knows_others && are_equal ? kIdleIntervalMs : kIntervalMs;
+  const bool is_idle = this->KnowsOthers(now) && this->AreHostsAlike(now);
+  const std::int64_t interval = is_idle ? kIdleIntervalMs : kIntervalMs;
   return state::Milliseconds(interval / 2 +
                              static_cast<std::int64_t>(this->random.Below(
                                  static_cast<std::uint64_t>(interval))));
