--- a/daemons/relay_application.cc
+++ b/daemons/relay_application.cc
@@ -114,15 +114,18 @@
         intake(clock, timers, relay_client, routes, servers, health_checker,
                log),
         source(sources.Make(threads.Context(), clock, settings.source)),
-        source_follower(clock, timers, random, *source, intake, log,
-                        settings.source_contact_timeout),
-        reachability(clock, routes, servers, log),
         roster(MakeAdvert(settings)),
         host_link(threads.Context(), clock, codec, receive_budget),
+        shared_source(clock, *source, host_link, roster, sources.Decoder(),
+                      change_history),
+        source_follower(clock, timers, random, shared_source, intake, log,
+                        settings.source_contact_timeout),
+        reachability(clock, routes, servers, log),
         advert_exchange(clock, timers, random, host_link, roster, readiness,
                         settings.seeds),
         dispatcher(clock, timers, host_link, roster, routes, executor, log),
-        peer_service(clock, codec, readiness, routes, roster, executor),
+        peer_service(clock, codec, readiness, routes, roster, change_history,
+                     timers, executor),
         peer_server(threads.Context(), peer_service, {}),
         front_service(clock, codec, readiness, dispatcher),
         caller_server(threads.Context(), front_service,
@@ -172,11 +175,13 @@
   coordination::RelayExecutor executor;
   coordination::RoutingIntake intake;
   const std::unique_ptr<coordination::RoutingSource> source;
+  coordination::GathererRoster roster;
+  transport::HostHttpLink host_link;
+  coordination::ChangeHistory change_history;
+  coordination::SharedSource shared_source;
   coordination::SourceFollower source_follower;
   coordination::ReachabilityReadiness reachability;
   LateBoundReadiness readiness;
-  coordination::GathererRoster roster;
-  transport::HostHttpLink host_link;
   coordination::AdvertExchange advert_exchange;
   coordination::RelayDispatcher dispatcher;
   RelayPeerService peer_service;
--- a/daemons/relay_application.h
+++ b/daemons/relay_application.h
@@ -19,6 +19,9 @@
 class RoutingSourceFactory {
  public:
   virtual ~RoutingSourceFactory() = default;
+  /// \brief Returns the decoder of the source's changes; outlives what Make()
+  /// returns.
+  virtual const coordination::ChangeDecoder& Decoder() const = 0;
   virtual std::unique_ptr<coordination::RoutingSource> Make(
       boost::asio::io_context& context, const coordination::Clock& clock,
       const state::Endpoint& endpoint) const = 0;
--- a/daemons/relay_peer_service.cc
+++ b/daemons/relay_peer_service.cc
@@ -1,6 +1,8 @@
 #include "relay_peer_service.h"
 
 #include <algorithm>
+#include <functional>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -12,6 +14,9 @@
 constexpr unsigned kHttpNotFound = 404;
 constexpr unsigned kHttpUnavailable = 503;
 
+/// A follower that asks for more is answered earlier.
+constexpr state::Duration kMaxFollowerWait = state::Milliseconds(5'000);
+
 protocol::HttpResponse Decline(const char* reason) {
   protocol::HttpResponse response;
   response.status = kHttpUnavailable;
@@ -32,12 +37,16 @@
                                    const coordination::Readiness& readiness,
                                    const coordination::RouteDirectory& routes,
                                    coordination::GathererRoster& roster,
+                                   coordination::ChangeHistory& history,
+                                   coordination::TimerService& timers,
                                    coordination::RelayRunner& executor)
     : clock(clock),
       codec(codec),
       readiness(readiness),
       routes(routes),
       roster(roster),
+      history(history),
+      timers(timers),
       executor(executor) {}
 
 void RelayPeerService::Handle(
@@ -54,11 +63,46 @@
     exchange->Respond({});
   } else if (request.target == protocol::kAdvertsPath) {
     exchange->Respond(this->ExchangeAdverts(request.body));
+  } else if (const std::optional<protocol::ChangesQuery> query =
+                 protocol::DecodeChangesTarget(request.target)) {
+    this->PassChanges(exchange, *query);
   } else {
     exchange->Respond(Status(kHttpNotFound));
   }
 }
 
+void RelayPeerService::PassChanges(
+    const std::shared_ptr<transport::HttpExchange>& exchange,
+    const protocol::ChangesQuery& query) {
+  const state::TimePoint now = this->clock.Now();
+  protocol::HttpResponse response;
+  if (query.wants_snapshot) {
+    response.body = protocol::EncodePassedChanges(this->history.Snapshot(now));
+    exchange->Respond(std::move(response));
+    return;
+  }
+  const coordination::PassedChanges known =
+      this->history.After(query.after, now);
+  if (known.is_history_gone) {
+    response.body = protocol::EncodePassedChanges(known);
+    exchange->Respond(std::move(response));
+    return;
+  }
+  // Runs at the next change or at the end of the wait, whichever is first; the
+  // exchange takes only one response.
+  const std::shared_ptr<std::function<void()>> respond =
+      std::make_shared<std::function<void()>>(
+          [this, exchange, after = query.after] {
+            protocol::HttpResponse changes;
+            changes.body = protocol::EncodePassedChanges(
+                this->history.After(after, this->clock.Now()));
+            exchange->Respond(std::move(changes));
+          });
+  this->timers.RunAt(now + std::min(query.wait, kMaxFollowerWait),
+                     [respond] { (*respond)(); });
+  this->history.NotifyAfter(query.after, respond);
+}
+
 void RelayPeerService::HandleDelegated(
     const std::shared_ptr<transport::HttpExchange>& exchange,
     const protocol::HttpRequest& request,
--- a/daemons/relay_peer_service.h
+++ b/daemons/relay_peer_service.h
@@ -4,18 +4,20 @@
 #include <memory>
 
 #include "banyanknot/coordination/clock.h"
+#include "banyanknot/coordination/delegation/change_history.h"
 #include "banyanknot/coordination/delegation/gatherer_roster.h"
 #include "banyanknot/coordination/readiness.h"
 #include "banyanknot/coordination/routing/relay_runner.h"
 #include "banyanknot/coordination/routing/route_directory.h"
+#include "banyanknot/coordination/timer_service.h"
 #include "banyanknot/protocol/fleet_codec.h"
 #include "banyanknot/protocol/relay_codec.h"
 #include "banyanknot/transport/http_server.h"
 
 namespace banyanknot::daemons {
 
-/// \brief Serves other relay hosts: takes adverts, and gathers that they pass
-/// on.
+/// \brief Serves other relay hosts: exchanges adverts, gathers for them, and
+/// passes published changes on to them.
 class RelayPeerService : public transport::HttpHandler {
  public:
   RelayPeerService(const coordination::Clock& clock,
@@ -23,6 +25,8 @@
                    const coordination::Readiness& readiness,
                    const coordination::RouteDirectory& routes,
                    coordination::GathererRoster& roster,
+                   coordination::ChangeHistory& history,
+                   coordination::TimerService& timers,
                    coordination::RelayRunner& executor);
 
   void Handle(std::shared_ptr<transport::HttpExchange> exchange) override;
@@ -32,12 +36,16 @@
                        const protocol::HttpRequest& request,
                        const protocol::DelegationHeader& delegation);
   protocol::HttpResponse ExchangeAdverts(const std::string& body);
+  void PassChanges(const std::shared_ptr<transport::HttpExchange>& exchange,
+                   const protocol::ChangesQuery& query);
 
   const coordination::Clock& clock;
   const protocol::RelayCodec& codec;
   const coordination::Readiness& readiness;
   const coordination::RouteDirectory& routes;
   coordination::GathererRoster& roster;
+  coordination::ChangeHistory& history;
+  coordination::TimerService& timers;
   coordination::RelayRunner& executor;
 };
 
--- /dev/null
+++ b/include/banyanknot/coordination/delegation/change_history.h
@@ -0,0 +1,85 @@
+#ifndef BANYANKNOT_COORDINATION_DELEGATION_CHANGE_HISTORY_H_
+#define BANYANKNOT_COORDINATION_DELEGATION_CHANGE_HISTORY_H_
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "banyanknot/coordination/routing/routing_source.h"
+
+namespace banyanknot::coordination {
+
+/// \brief Published changes as one host passes them on to another.
+struct PassedChanges {
+  std::uint64_t revision = 0;
+  /// Since the passing host last heard from the source itself.
+  state::Duration age{0};
+  /// The source has just returned: entries that lapsed may be written again.
+  bool defers_removals = false;
+  bool is_snapshot = false;
+  /// The changes asked for are no longer known; a snapshot is needed.
+  bool is_history_gone = false;
+  std::vector<EncodedChange> changes;
+};
+
+/// \brief What this host itself heard from the source, kept for other hosts.
+///
+/// Nothing second-hand is recorded, so that a host with an old view is known by
+/// the age of its history. Bounded in changes and bytes. Thread-safe.
+class ChangeHistory {
+ public:
+  static constexpr std::size_t kMaxBatches = 256;
+  static constexpr std::size_t kMaxBytes = 2u << 20;
+
+  /// \brief Records a complete snapshot that was read at `now`.
+  void RecordSnapshot(const RoutingBatch& snapshot, state::TimePoint now);
+  /// \brief Records the changes of a watch that ended at `now`, if any.
+  void RecordChanges(const RoutingBatch& batch, state::TimePoint now);
+  /// \brief Records that the source returned after a failure.
+  void RecordReturn(state::TimePoint now);
+
+  /// \brief Returns the changes after a revision, oldest first.
+  PassedChanges After(std::uint64_t revision, state::TimePoint now) const;
+  PassedChanges Snapshot(state::TimePoint now) const;
+
+  /// \brief Calls `handler` once with the next change after `revision`; at once
+  /// if there is one. It is dropped if nothing else holds it.
+  void NotifyAfter(std::uint64_t revision,
+                   const std::shared_ptr<std::function<void()>>& handler);
+
+ private:
+  struct Batch {
+    std::uint64_t revision = 0;
+    std::vector<EncodedChange> changes;
+    std::size_t bytes = 0;
+  };
+  struct Waiter {
+    std::uint64_t revision = 0;
+    std::weak_ptr<std::function<void()>> handler;
+  };
+
+  PassedChanges Header(state::TimePoint now) const;
+  void Trim();
+  std::vector<Waiter> TakeWaiters();
+
+  mutable std::mutex mutex;
+  bool has_snapshot = false;
+  std::uint64_t revision = 0;
+  std::uint64_t oldest_revision = 0;  // changes after it are known
+  state::TimePoint confirmed_at;
+  state::TimePoint returned_at = state::TimePoint::min();
+  std::map<std::string, std::string> present;  // text by key
+  std::deque<Batch> batches;                   // oldest first
+  std::size_t batch_bytes = 0;
+  std::vector<Waiter> waiters;
+};
+
+}  // namespace banyanknot::coordination
+
+#endif  // BANYANKNOT_COORDINATION_DELEGATION_CHANGE_HISTORY_H_
--- a/include/banyanknot/coordination/delegation/gatherer_roster.h
+++ b/include/banyanknot/coordination/delegation/gatherer_roster.h
@@ -22,6 +22,7 @@
   static constexpr state::Duration kLifetime = state::Milliseconds(5'000);
   /// A host gathers for others that have at most 1/n of its processor share.
   static constexpr double kRoomFactor = 2;
+  static constexpr std::size_t kWatchersPerDomain = 2;
 
   /// \param own what this host tells others
   explicit GathererRoster(state::HostAdvert own) : own(std::move(own)) {}
@@ -44,6 +45,15 @@
   /// gather itself. The choice is stable while the same hosts are alive.
   std::optional<state::HostAdvert> PickGatherer(state::TimePoint now) const;
 
+  /// \brief Returns the hosts of this failure domain that follow the source for
+  /// all others and are not suspected; nothing if this host follows it itself.
+  ///
+  /// These are the two roomiest hosts, where the domain has at least twice as
+  /// many others.
+  std::vector<state::HostAdvert> Watchers(state::TimePoint now) const;
+  /// \brief Returns true if other hosts may follow the source through this one.
+  bool MayHaveFollowers(state::TimePoint now) const;
+
   /// \brief Leaves a host out of PickGatherer() until it is cleared or its
   /// advert lapses.
   void Suspect(const state::HostId& host, state::TimePoint now);
@@ -63,6 +73,9 @@
 
   void RemoveLapsed(DomainEntries& entries, state::TimePoint now) const;
   bool MayGatherHere(const Entry& entry, state::TimePoint now) const;
+  /// \brief Returns the roomiest hosts of the domain, this one included; empty
+  /// if there are too few to divide the work.
+  std::vector<state::HostAdvert> RankedLocked(state::TimePoint now) const;
 
   const state::HostAdvert own;
   mutable std::mutex mutex;
--- a/include/banyanknot/coordination/delegation/host_link.h
+++ b/include/banyanknot/coordination/delegation/host_link.h
@@ -7,6 +7,7 @@
 #include <optional>
 #include <vector>
 
+#include "banyanknot/coordination/delegation/change_history.h"
 #include "banyanknot/coordination/delegation/delegation_failure.h"
 #include "banyanknot/coordination/routing/relay_client.h"
 #include "banyanknot/state/result.h"
@@ -27,6 +28,9 @@
 using AdvertsHandler =
     std::function<void(const std::optional<std::vector<state::HostAdvert>>&)>;
 
+/// \brief Gets what another host passes on; nothing if it did not reply.
+using ChangesHandler = std::function<void(std::optional<PassedChanges>)>;
+
 /// \brief Talks to other hosts.
 ///
 /// Thread-safe. Handlers run on any thread, exactly once, never inside the
@@ -43,6 +47,13 @@
   virtual void ExchangeAdverts(const state::Endpoint& host,
                                const state::HostAdvert& own,
                                AdvertsHandler handler) = 0;
+  /// \brief Waits up to `wait` for published changes after revision `after`
+  /// that another host heard of.
+  virtual void FollowChanges(const state::Endpoint& host, std::uint64_t after,
+                             state::Duration wait, ChangesHandler handler) = 0;
+  /// \brief Asks another host for all that is published.
+  virtual void ReadSnapshot(const state::Endpoint& host,
+                            ChangesHandler handler) = 0;
 };
 
 }  // namespace banyanknot::coordination
--- /dev/null
+++ b/include/banyanknot/coordination/delegation/shared_source.h
@@ -0,0 +1,68 @@
+#ifndef BANYANKNOT_COORDINATION_DELEGATION_SHARED_SOURCE_H_
+#define BANYANKNOT_COORDINATION_DELEGATION_SHARED_SOURCE_H_
+
+#include <cstdint>
+#include <map>
+#include <mutex>
+#include <optional>
+
+#include "banyanknot/coordination/clock.h"
+#include "banyanknot/coordination/delegation/change_history.h"
+#include "banyanknot/coordination/delegation/gatherer_roster.h"
+#include "banyanknot/coordination/delegation/host_link.h"
+#include "banyanknot/coordination/routing/routing_source.h"
+
+namespace banyanknot::coordination {
+
+/// \brief Follows the source through a watcher of this host's failure domain
+/// where there is one, and directly otherwise.
+///
+/// A watcher that doesn't reply, or that has itself not heard from the source
+/// for kMaxAge, is left for the other one and then for the source. What this
+/// host hears from the source goes into the ChangeHistory for its own
+/// followers. Thread-safe.
+class SharedSource : public RoutingSource {
+ public:
+  /// A watcher's history may be this old: longer than its own wait at the
+  /// source, and well within the time in which changes must take effect.
+  static constexpr state::Duration kMaxAge = state::Milliseconds(2'600);
+  /// How long a host with followers waits at the source.
+  static constexpr state::Duration kWatcherWait = state::Milliseconds(2'000);
+  /// How long a watcher may keep a follower waiting without a word.
+  static constexpr state::Duration kFollowerWait = state::Milliseconds(1'000);
+
+  SharedSource(const Clock& clock, RoutingSource& source, HostLink& link,
+               GathererRoster& roster, const ChangeDecoder& decoder,
+               ChangeHistory& history);
+
+  void ReadAll(RoutingBatchHandler handler) override;
+  void Watch(std::uint64_t after, state::Duration wait,
+             RoutingBatchHandler handler) override;
+
+ private:
+  std::optional<state::HostAdvert> PickWatcher(state::TimePoint now);
+  void LeaveOut(const state::HostId& host, state::TimePoint now);
+  void ReadSource(RoutingBatchHandler handler);
+  void WatchSource(std::uint64_t after, state::Duration wait,
+                   RoutingBatchHandler handler);
+  RoutingBatch ToBatch(const PassedChanges& passed);
+  void RecordRevision(std::uint64_t revision);
+  bool IsUsableSnapshot(const PassedChanges& passed) const;
+  void OnSourceResult(bool is_ok, state::TimePoint now);
+  bool HasSourceJustFailed(state::TimePoint now) const;
+
+  const Clock& clock;
+  RoutingSource& source;
+  HostLink& link;
+  GathererRoster& roster;
+  const ChangeDecoder& decoder;
+  ChangeHistory& history;
+  mutable std::mutex mutex;
+  std::map<state::HostId, state::TimePoint> left_out_until;
+  std::optional<state::TimePoint> source_failed_at;
+  std::uint64_t newest_revision = 0;
+};
+
+}  // namespace banyanknot::coordination
+
+#endif  // BANYANKNOT_COORDINATION_DELEGATION_SHARED_SOURCE_H_
--- a/include/banyanknot/coordination/routing/routing_source.h
+++ b/include/banyanknot/coordination/routing/routing_source.h
@@ -39,10 +39,32 @@
     std::variant<state::RouteTablePtr, DomainStateChange,
                  state::RegisteredServer, ServerRemoval, UnreadableEntry>;
 
+/// \brief A change as the source wrote it, to be decoded by a ChangeDecoder.
+struct EncodedChange {
+  std::string key;
+  std::string text;
+  bool is_removal = false;
+  std::uint64_t revision = 0;
+};
+
 /// \brief The changes up to a revision, or a snapshot at it.
 struct RoutingBatch {
   std::vector<RoutingChange> changes;
   std::uint64_t revision = 0;
+  std::vector<EncodedChange> encoded;  ///< the same, for other hosts
+  bool is_passed_on = false;           ///< by another host, not the source
+  bool is_stale = false;  ///< passed on by a host that has lost the source too
+  /// Another host saw the source return just now; see RemovalMode.
+  bool defers_removals = false;
+};
+
+/// \brief Decodes changes that another host passed on. Thread-safe.
+class ChangeDecoder {
+ public:
+  virtual ~ChangeDecoder() = default;
+  /// \returns nothing for a change that isn't relevant
+  virtual std::optional<RoutingChange> Decode(
+      const EncodedChange& change) const = 0;
 };
 
 using RoutingBatchHandler =
--- a/include/banyanknot/coordination/routing/source_follower.h
+++ b/include/banyanknot/coordination/routing/source_follower.h
@@ -39,7 +39,7 @@
   void OnWatched(const state::Result<RoutingBatch, SourceFailure>& result);
   void OnFailure(SourceFailure failure);
   void OnSuccess();
-  RemovalMode CurrentRemovalMode() const;
+  RemovalMode RemovalModeOf(const RoutingBatch& batch) const;
 
   const Clock& clock;
   TimerService& timers;
--- a/include/banyanknot/protocol/fleet_codec.h
+++ b/include/banyanknot/protocol/fleet_codec.h
@@ -2,6 +2,7 @@
 #define BANYANKNOT_PROTOCOL_FLEET_CODEC_H_
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -21,6 +22,9 @@
 inline constexpr const char* kAdvertsPath = "/fleet/adverts";
 /// \brief Path at which a relay host shows that a connection works (GET).
 inline constexpr const char* kFleetLivePath = "/fleet/live";
+/// \brief Path at which a relay host passes on published changes (GET). Its
+/// query has `after` and `wait_ms`, or nothing for all that is published.
+inline constexpr const char* kChangesPath = "/fleet/changes";
 /// \brief Header of a reply to a request that was not started; says why.
 inline constexpr const char* kDeclinedHeader = "Banyanknot-Declined";
 
@@ -33,6 +37,27 @@
     const std::string& text);
 inline constexpr std::size_t kMaxAdverts = 16;
 
+/// \brief Writes published changes for another host.
+std::string EncodePassedChanges(const coordination::PassedChanges& passed);
+
+/// \brief Reads the output of EncodePassedChanges().
+/// \returns the changes, or the first error found
+state::Result<coordination::PassedChanges, ProtocolError> DecodePassedChanges(
+    const std::string& text);
+/// \brief Maximum size of passed changes, in bytes.
+inline constexpr std::size_t kMaxPassedBytes = 8u << 20;
+
+/// \brief A request for published changes.
+struct ChangesQuery {
+  bool wants_snapshot = false;
+  std::uint64_t after = 0;
+  state::Duration wait{0};
+};
+
+std::string EncodeChangesTarget(const ChangesQuery& query);
+/// \returns nothing for a target of another form
+std::optional<ChangesQuery> DecodeChangesTarget(const std::string& target);
+
 /// \brief What one host says of a request that it passes to another.
 struct DelegationHeader {
   std::uint64_t routes_version = 0;
--- a/include/banyanknot/transport/host_http_link.h
+++ b/include/banyanknot/transport/host_http_link.h
@@ -29,11 +29,19 @@
   void ExchangeAdverts(const state::Endpoint& host,
                        const state::HostAdvert& own,
                        coordination::AdvertsHandler handler) override;
+  void FollowChanges(const state::Endpoint& host, std::uint64_t after,
+                     state::Duration wait,
+                     coordination::ChangesHandler handler) override;
+  void ReadSnapshot(const state::Endpoint& host,
+                    coordination::ChangesHandler handler) override;
 
  private:
   using PoolPtr = std::shared_ptr<HttpConnectionPool>;
 
   PoolPtr PoolOf(const state::Endpoint& host);
+  void GetChanges(const state::Endpoint& host, const std::string& target,
+                  state::Duration timeout,
+                  coordination::ChangesHandler handler);
 
   boost::asio::io_context& context;
   const coordination::Clock& clock;
--- a/src/coordination/delegation/gatherer_roster.cc
+++ b/src/coordination/delegation/gatherer_roster.cc
@@ -105,6 +105,46 @@
   return std::nullopt;
 }
 
+std::vector<state::HostAdvert> GathererRoster::RankedLocked(
+    state::TimePoint now) const {
+  const auto found = this->domains.find(this->own.domain);
+  if (found == this->domains.end()) return {};
+  std::vector<state::HostAdvert> ranked{this->own};
+  for (const auto& [id, entry] : found->second) {
+    if (now - entry.said_at < kLifetime) ranked.push_back(entry.advert);
+  }
+  if (ranked.size() <= 2 * kWatchersPerDomain) return {};
+  std::sort(ranked.begin(), ranked.end(), IsRoomier);
+  ranked.resize(kWatchersPerDomain);
+  return ranked;
+}
+
+std::vector<state::HostAdvert> GathererRoster::Watchers(
+    state::TimePoint now) const {
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  std::vector<state::HostAdvert> watchers;
+  for (const state::HostAdvert& host : this->RankedLocked(now)) {
+    if (host.id == this->own.id) return {};
+    const Entry& entry = this->domains.at(this->own.domain).at(host.id);
+    if (!entry.suspected_at) watchers.push_back(host);
+  }
+  if (watchers.size() == kWatchersPerDomain &&
+      RendezvousRank(this->own.id.Text(), watchers.back().id,
+                     {watchers.front().id, watchers.back().id}) == 0) {
+    std::swap(watchers.front(), watchers.back());
+  }
+  return watchers;
+}
+
+bool GathererRoster::MayHaveFollowers(state::TimePoint now) const {
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  const std::vector<state::HostAdvert> ranked = this->RankedLocked(now);
+  return std::any_of(ranked.begin(), ranked.end(),
+                     [this](const state::HostAdvert& host) {
+                       return host.id == this->own.id;
+                     });
+}
+
 void GathererRoster::Suspect(const state::HostId& host, state::TimePoint now) {
   const std::lock_guard<std::mutex> lock(this->mutex);
   const auto found = this->domains.find(this->own.domain);
--- /dev/null
+++ b/src/coordination/delegation/shared_source.cc
@@ -0,0 +1,182 @@
+#include "banyanknot/coordination/delegation/shared_source.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace banyanknot::coordination {
+namespace {
+
+/// A watcher without news of the source is asked again after this time.
+constexpr state::Duration kLeaveOutTime = state::Milliseconds(3'000);
+/// After the source failed, watchers are asked in its place for this long, even
+/// those without news of it, so that not every host calls it again and again.
+constexpr state::Duration kSourcePause = state::Milliseconds(1'200);
+
+}  // namespace
+
+SharedSource::SharedSource(const Clock& clock, RoutingSource& source,
+                           HostLink& link, GathererRoster& roster,
+                           const ChangeDecoder& decoder, ChangeHistory& history)
+    : clock(clock),
+      source(source),
+      link(link),
+      roster(roster),
+      decoder(decoder),
+      history(history) {}
+
+std::optional<state::HostAdvert> SharedSource::PickWatcher(
+    state::TimePoint now) {
+  const std::vector<state::HostAdvert> watchers = this->roster.Watchers(now);
+  const bool takes_any = this->HasSourceJustFailed(now);
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  for (const state::HostAdvert& watcher : watchers) {
+    const auto found = this->left_out_until.find(watcher.id);
+    if (takes_any || found == this->left_out_until.end() ||
+        found->second <= now) {
+      return watcher;
+    }
+  }
+  return std::nullopt;
+}
+
+void SharedSource::LeaveOut(const state::HostId& host, state::TimePoint now) {
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  for (auto entry = this->left_out_until.begin();
+       entry != this->left_out_until.end();) {
+    entry = entry->second <= now ? this->left_out_until.erase(entry)
+                                 : std::next(entry);
+  }
+  this->left_out_until[host] = now + kLeaveOutTime;
+}
+
+bool SharedSource::HasSourceJustFailed(state::TimePoint now) const {
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  return this->source_failed_at && now - *this->source_failed_at < kSourcePause;
+}
+
+void SharedSource::OnSourceResult(bool is_ok, state::TimePoint now) {
+  bool has_returned = false;
+  {
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    has_returned = is_ok && this->source_failed_at;
+    if (is_ok) {
+      this->source_failed_at.reset();
+    } else {
+      this->source_failed_at = now;
+    }
+  }
+  if (has_returned) this->history.RecordReturn(now);
+}
+
+RoutingBatch SharedSource::ToBatch(const PassedChanges& passed) {
+  RoutingBatch batch;
+  batch.revision = passed.revision;
+  batch.is_passed_on = true;
+  batch.is_stale = passed.age > kMaxAge;
+  batch.defers_removals = passed.defers_removals;
+  for (const EncodedChange& encoded : passed.changes) {
+    std::optional<RoutingChange> change = this->decoder.Decode(encoded);
+    if (change) batch.changes.push_back(std::move(*change));
+  }
+  this->RecordRevision(batch.revision);
+  return batch;
+}
+
+void SharedSource::RecordRevision(std::uint64_t revision) {
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  this->newest_revision = std::max(this->newest_revision, revision);
+}
+
+bool SharedSource::IsUsableSnapshot(const PassedChanges& passed) const {
+  if (!passed.is_snapshot) return false;
+  const state::TimePoint now = this->clock.Now();
+  if (passed.age > kMaxAge && !this->HasSourceJustFailed(now)) return false;
+  // An older one would undo what this host knows.
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  return passed.revision >= this->newest_revision;
+}
+
+void SharedSource::ReadSource(RoutingBatchHandler handler) {
+  this->source.ReadAll([this, handler = std::move(handler)](
+                           state::Result<RoutingBatch, SourceFailure> result) {
+    const state::TimePoint now = this->clock.Now();
+    this->OnSourceResult(state::IsOk(result), now);
+    if (state::IsOk(result)) {
+      this->RecordRevision(state::ValueOf(result).revision);
+      this->history.RecordSnapshot(state::ValueOf(result), now);
+    }
+    handler(std::move(result));
+  });
+}
+
+void SharedSource::ReadAll(RoutingBatchHandler handler) {
+  const std::optional<state::HostAdvert> watcher =
+      this->PickWatcher(this->clock.Now());
+  if (!watcher) {
+    this->ReadSource(std::move(handler));
+    return;
+  }
+  this->link.ReadSnapshot(
+      watcher->endpoint,
+      [this, id = watcher->id, handler = std::move(handler)](
+          const std::optional<PassedChanges>& passed) mutable {
+        if (passed && this->IsUsableSnapshot(*passed)) {
+          handler(this->ToBatch(*passed));
+          return;
+        }
+        this->LeaveOut(id, this->clock.Now());
+        this->ReadSource(std::move(handler));
+      });
+}
+
+void SharedSource::WatchSource(std::uint64_t after, state::Duration wait,
+                               RoutingBatchHandler handler) {
+  const state::Duration own_wait =
+      this->roster.MayHaveFollowers(this->clock.Now())
+          ? std::min(wait, kWatcherWait)
+          : wait;
+  this->source.Watch(after, own_wait,
+                     [this, handler = std::move(handler)](
+                         state::Result<RoutingBatch, SourceFailure> result) {
+                       const state::TimePoint now = this->clock.Now();
+                       this->OnSourceResult(state::IsOk(result), now);
+                       if (state::IsOk(result)) {
+                         this->RecordRevision(state::ValueOf(result).revision);
+                         this->history.RecordChanges(state::ValueOf(result),
+                                                     now);
+                       }
+                       handler(std::move(result));
+                     });
+}
+
+void SharedSource::Watch(std::uint64_t after, state::Duration wait,
+                         RoutingBatchHandler handler) {
+  const std::optional<state::HostAdvert> watcher =
+      this->PickWatcher(this->clock.Now());
+  if (!watcher) {
+    this->WatchSource(after, wait, std::move(handler));
+    return;
+  }
+  this->link.FollowChanges(
+      watcher->endpoint, after, kFollowerWait,
+      [this, after, wait, id = watcher->id, handler = std::move(handler)](
+          const std::optional<PassedChanges>& passed) mutable {
+        const state::TimePoint now = this->clock.Now();
+        if (!passed) {
+          this->roster.Suspect(id, now);
+          this->LeaveOut(id, now);
+          this->Watch(after, wait, std::move(handler));
+          return;
+        }
+        const bool is_fresh =
+            passed->age <= kMaxAge || this->HasSourceJustFailed(now);
+        if (passed->is_history_gone || !is_fresh) {
+          this->LeaveOut(id, now);
+          this->WatchSource(after, wait, std::move(handler));
+          return;
+        }
+        handler(this->ToBatch(*passed));
+      });
+}
+
+}  // namespace banyanknot::coordination
--- a/src/coordination/routing/source_follower.cc
+++ b/src/coordination/routing/source_follower.cc
@@ -48,9 +48,9 @@
     this->OnFailure(state::ErrorOf(result));
     return;
   }
-  this->OnSuccess();
   const RoutingBatch& batch = state::ValueOf(result);
-  this->intake.ApplyAll(batch, this->CurrentRemovalMode());
+  if (!batch.is_stale) this->OnSuccess();
+  this->intake.ApplyAll(batch, this->RemovalModeOf(batch));
   this->revision = batch.revision;
   this->has_read = true;
   this->Watch();
@@ -73,11 +73,12 @@
     this->OnFailure(state::ErrorOf(result));
     return;
   }
-  this->OnSuccess();
   const RoutingBatch& batch = state::ValueOf(result);
-  this->intake.Apply(batch, this->CurrentRemovalMode());
+  if (!batch.is_stale) this->OnSuccess();
+  this->intake.Apply(batch, this->RemovalModeOf(batch));
   this->revision = std::max(this->revision, batch.revision);
-  if (batch.changes.empty()) {
+  // Another host has batched the changes that it passes on.
+  if (batch.changes.empty() || batch.is_passed_on) {
     this->Watch();
   } else {
     this->timers.RunAt(this->clock.Now() + kBatchingDelay,
@@ -119,7 +120,8 @@
                                     this->regained_at - this->lost_at))}});
 }
 
-RemovalMode SourceFollower::CurrentRemovalMode() const {
+RemovalMode SourceFollower::RemovalModeOf(const RoutingBatch& batch) const {
+  if (batch.defers_removals) return RemovalMode::kDeferred;
   const bool has_just_returned =
       this->regained_at != state::TimePoint::min() &&
       this->clock.Now() - this->regained_at < kDeferredRemovalWindow;
--- a/src/protocol/fleet_codec.cc
+++ b/src/protocol/fleet_codec.cc
@@ -24,6 +24,8 @@
 constexpr std::size_t kMaxAdvertsBytes = 16u << 10;
 constexpr std::size_t kMaxNameBytes = 128;
 constexpr std::uint64_t kMaxAgeMs = 3'600'000;
+constexpr std::uint64_t kMaxWaitMs = 30'000;
+constexpr std::uint64_t kMaxRevision = UINT64_MAX;
 constexpr std::uint64_t kMaxMilliCores = 1'000'000;
 constexpr std::int64_t kMaxMicroseconds = 600'000'000;
 constexpr double kMilliCoresPerCore = 1'000;
@@ -117,6 +119,83 @@
   return adverts;
 }
 
+std::string EncodePassedChanges(const coordination::PassedChanges& passed) {
+  nlohmann::json changes = nlohmann::json::array();
+  for (const coordination::EncodedChange& change : passed.changes) {
+    changes.push_back({{"key", change.key},
+                       {"text", change.text},
+                       {"removed", change.is_removal},
+                       {"revision", change.revision}});
+  }
+  const nlohmann::json document = {
+      {"revision", passed.revision},
+      {"age_ms",
+       std::clamp<std::int64_t>(state::ToMilliseconds(passed.age), 0,
+                                static_cast<std::int64_t>(kMaxAgeMs))},
+      {"defers_removals", passed.defers_removals},
+      {"snapshot", passed.is_snapshot},
+      {"history_gone", passed.is_history_gone},
+      {"changes", std::move(changes)}};
+  return document.dump(-1, ' ', false,
+                       nlohmann::json::error_handler_t::replace);
+}
+
+state::Result<coordination::PassedChanges, ProtocolError> DecodePassedChanges(
+    const std::string& text) {
+  const state::Result<nlohmann::json, ProtocolError> document =
+      ParseJson(text, kMaxPassedBytes);
+  if (!state::IsOk(document)) return state::ErrorOf(document);
+  JsonReader reader(state::ValueOf(document), "");
+  coordination::PassedChanges passed;
+  passed.revision = reader.Unsigned("revision", kMaxRevision);
+  passed.age = state::Milliseconds(
+      static_cast<std::int64_t>(reader.Unsigned("age_ms", kMaxAgeMs)));
+  passed.defers_removals = reader.BoolOr("defers_removals", false);
+  passed.is_snapshot = reader.BoolOr("snapshot", false);
+  passed.is_history_gone = reader.BoolOr("history_gone", false);
+  for (const nlohmann::json& object : reader.ArrayOrEmpty("changes")) {
+    if (reader.Error()) break;
+    JsonReader member(object, "/changes");
+    coordination::EncodedChange change;
+    change.key = member.String("key");
+    change.text = member.String("text");
+    change.is_removal = member.BoolOr("removed", false);
+    change.revision = member.Unsigned("revision", kMaxRevision);
+    passed.changes.push_back(std::move(change));
+    reader.Adopt(member);
+  }
+  if (reader.Error()) return *reader.Error();
+  return passed;
+}
+
+std::string EncodeChangesTarget(const ChangesQuery& query) {
+  if (query.wants_snapshot) return kChangesPath;
+  return std::string(kChangesPath) + "?after=" + std::to_string(query.after) +
+         "&wait_ms=" + std::to_string(state::ToMilliseconds(query.wait));
+}
+
+std::optional<ChangesQuery> DecodeChangesTarget(const std::string& target) {
+  ChangesQuery query;
+  if (target == kChangesPath) {
+    query.wants_snapshot = true;
+    return query;
+  }
+  const std::string prefix = std::string(kChangesPath) + "?after=";
+  constexpr std::string_view kWait = "&wait_ms=";
+  if (target.compare(0, prefix.size(), prefix) != 0) return std::nullopt;
+  const std::string_view rest = std::string_view(target).substr(prefix.size());
+  const std::size_t split = rest.find(kWait);
+  if (split == std::string_view::npos) return std::nullopt;
+  const std::optional<std::uint64_t> after =
+      ParseWhole<std::uint64_t>(rest.substr(0, split));
+  const std::optional<std::uint64_t> wait_ms =
+      ParseWhole<std::uint64_t>(rest.substr(split + kWait.size()));
+  if (!after || !wait_ms || *wait_ms > kMaxWaitMs) return std::nullopt;
+  query.after = *after;
+  query.wait = state::Milliseconds(static_cast<std::int64_t>(*wait_ms));
+  return query;
+}
+
 void AddDelegationHeader(const DelegationHeader& delegation,
                          HttpRequest& request) {
   request.headers.push_back({kVersionHeader, kProtocolVersion});
--- a/src/transport/host_http_link.cc
+++ b/src/transport/host_http_link.cc
@@ -21,6 +21,9 @@
 /// Of an exchange of adverts, also with hosts of other failure domains.
 constexpr state::Duration kExchangeTimeout = state::Milliseconds(500);
 constexpr state::Duration kSilenceDetectionOff = state::Milliseconds(3'600'000);
+/// Beyond the wait that a follower asked for.
+constexpr state::Duration kFollowMargin = state::Milliseconds(300);
+constexpr state::Duration kSnapshotTimeout = state::Milliseconds(1'000);
 constexpr unsigned kHttpOk = 200;
 
 coordination::DelegationFailure FailureOf(TransportError error) {
@@ -130,4 +133,42 @@
   });
 }
 
+void HostHttpLink::GetChanges(const state::Endpoint& host,
+                              const std::string& target,
+                              state::Duration timeout,
+                              coordination::ChangesHandler handler) {
+  HttpCall call;
+  call.request = {"GET", target, ""};
+  call.deadline = this->clock.Now() + timeout;
+  call.send_before = call.deadline;
+  call.max_response_bytes = protocol::kMaxPassedBytes;
+  this->PoolOf(host)->Call(std::move(call), [handler = std::move(handler)](
+                                                const HttpCallResult& result) {
+    if (!state::IsOk(result) || state::ValueOf(result).status != kHttpOk) {
+      handler(std::nullopt);
+      return;
+    }
+    state::Result<coordination::PassedChanges, protocol::ProtocolError> passed =
+        protocol::DecodePassedChanges(state::ValueOf(result).body);
+    if (!state::IsOk(passed)) {
+      handler(std::nullopt);
+      return;
+    }
+    handler(state::TakeValue(std::move(passed)));
+  });
+}
+
+void HostHttpLink::FollowChanges(const state::Endpoint& host,
+                                 std::uint64_t after, state::Duration wait,
+                                 coordination::ChangesHandler handler) {
+  this->GetChanges(host, protocol::EncodeChangesTarget({false, after, wait}),
+                   wait + kFollowMargin, std::move(handler));
+}
+
+void HostHttpLink::ReadSnapshot(const state::Endpoint& host,
+                                coordination::ChangesHandler handler) {
+  this->GetChanges(host, protocol::EncodeChangesTarget({true, 0, {}}),
+                   kSnapshotTimeout, std::move(handler));
+}
+
 }  // namespace banyanknot::transport
--- a/test/coordination/delegation/advert_exchange_test.cc
+++ b/test/coordination/delegation/advert_exchange_test.cc
@@ -29,6 +29,15 @@
         DelegationHandler /*handler*/) override {
       return nullptr;
     }
+    void FollowChanges(const state::Endpoint& /*host*/, std::uint64_t /*after*/,
+                       state::Duration /*wait*/,
+                       ChangesHandler handler) override {
+      handler(std::nullopt);
+    }
+    void ReadSnapshot(const state::Endpoint& /*host*/,
+                      ChangesHandler handler) override {
+      handler(std::nullopt);
+    }
     void ExchangeAdverts(const state::Endpoint& host,
                          const state::HostAdvert& own,
                          AdvertsHandler handler) override {
--- a/test/coordination/delegation/relay_dispatcher_test.cc
+++ b/test/coordination/delegation/relay_dispatcher_test.cc
@@ -39,6 +39,15 @@
                        AdvertsHandler handler) override {
     handler(std::nullopt);
   }
+  void FollowChanges(const state::Endpoint& /*host*/, std::uint64_t /*after*/,
+                     state::Duration /*wait*/,
+                     ChangesHandler handler) override {
+    handler(std::nullopt);
+  }
+  void ReadSnapshot(const state::Endpoint& /*host*/,
+                    ChangesHandler handler) override {
+    handler(std::nullopt);
+  }
 
   Response response;
   std::vector<DelegatedRequest> delegated;
--- /dev/null
+++ b/test/coordination/delegation/shared_source_test.cc
@@ -0,0 +1,357 @@
+#include "banyanknot/coordination/delegation/shared_source.h"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <map>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "coordination/routing/relay_fixture.h"
+
+namespace banyanknot::coordination::routing_testing {
+namespace {
+
+constexpr state::Duration kWait = Milliseconds(4'500);
+
+/// A source with revisions that tests write; each change is one evacuation.
+class FakeSource : public RoutingSource {
+ public:
+  explicit FakeSource(fleet_testing::VirtualTime& time) : time(time) {}
+
+  void ReadAll(RoutingBatchHandler handler) override {
+    ++this->reads;
+    this->Reply(Milliseconds(4), [this, handler = std::move(handler)] {
+      if (!this->is_up) {
+        handler(SourceFailure::kRefused);
+        return;
+      }
+      handler(this->BatchAfter(0));
+    });
+  }
+  void Watch(std::uint64_t after, state::Duration wait,
+             RoutingBatchHandler handler) override {
+    ++this->watches;
+    if (!this->is_up || this->revision > after) {
+      this->Reply(Milliseconds(4), [this, after, handler = std::move(handler)] {
+        if (this->is_up) {
+          handler(this->BatchAfter(after));
+        } else {
+          handler(SourceFailure::kRefused);
+        }
+      });
+      return;
+    }
+    const std::shared_ptr<bool> is_done = std::make_shared<bool>(false);
+    const auto end = [this, after, is_done, handler = std::move(handler)] {
+      if (std::exchange(*is_done, true)) return;
+      if (this->is_up) {
+        handler(this->BatchAfter(after));
+      } else {
+        handler(SourceFailure::kSilent);
+      }
+    };
+    this->time.RunAt(this->time.Now() + wait, end);
+    this->waiting.push_back(end);
+  }
+  void Write() {
+    ++this->revision;
+    std::vector<std::function<void()>> ended;
+    ended.swap(this->waiting);
+    if (!this->is_up) return;
+    for (const std::function<void()>& end : ended) end();
+  }
+
+  std::uint64_t revision = 1;
+  bool is_up = true;
+  int reads = 0;
+  int watches = 0;
+
+ private:
+  void Reply(state::Duration after, std::function<void()> reply) {
+    this->time.RunAt(this->time.Now() + after, std::move(reply));
+  }
+  RoutingBatch BatchAfter(std::uint64_t after) const {
+    RoutingBatch batch;
+    batch.revision = this->revision;
+    for (std::uint64_t number = after + 1; number <= this->revision; ++number) {
+      const std::string name = "domain" + std::to_string(number);
+      batch.changes.push_back(
+          DomainStateChange{state::FailureDomainId(name), true});
+      batch.encoded.push_back({name, name, false, number});
+    }
+    return batch;
+  }
+
+  fleet_testing::VirtualTime& time;
+  std::vector<std::function<void()>> waiting;
+};
+
+class NameDecoder : public ChangeDecoder {
+ public:
+  std::optional<RoutingChange> Decode(
+      const EncodedChange& change) const override {
+    return DomainStateChange{state::FailureDomainId(change.text), true};
+  }
+};
+
+/// A failure domain of hosts that follow one source, each by a SourceFollower.
+class SharingFleet {
+ public:
+  struct Host : HostLink {
+    Host(SharingFleet& fleet, const state::HostAdvert& own)
+        : fleet(fleet),
+          roster(own),
+          source(fleet.time),
+          shared(fleet.time, source, *this, roster, fleet.decoder, history),
+          follower(fleet.time, fleet.time, fleet.random, shared, fixture.intake,
+                   fixture.log, Milliseconds(6'000)) {}
+    std::shared_ptr<RelayCall> Delegate(
+        const state::Endpoint& /*host*/, DelegatedRequest /*request*/,
+        DelegationHandler /*handler*/) override {
+      return nullptr;
+    }
+    void ExchangeAdverts(const state::Endpoint& /*host*/,
+                         const state::HostAdvert& /*own*/,
+                         AdvertsHandler handler) override {
+      handler(std::nullopt);
+    }
+    void FollowChanges(const state::Endpoint& host, std::uint64_t after,
+                       state::Duration wait, ChangesHandler handler) override {
+      Host& other = this->fleet.At(host.address);
+      const state::TimePoint now = this->fleet.time.Now();
+      if (!other.is_up) {
+        this->fleet.time.RunAt(now + wait + Milliseconds(300),
+                               [handler] { handler(std::nullopt); });
+        return;
+      }
+      const std::shared_ptr<bool> is_done = std::make_shared<bool>(false);
+      const std::shared_ptr<std::function<void()>> reply =
+          std::make_shared<std::function<void()>>(
+              [this, &other, after, is_done, handler] {
+                if (std::exchange(*is_done, true)) return;
+                if (!other.is_up) {
+                  handler(std::nullopt);
+                  return;
+                }
+                handler(other.history.After(after, this->fleet.time.Now()));
+              });
+      this->fleet.time.RunAt(now + wait, [reply] { (*reply)(); });
+      other.history.NotifyAfter(after, reply);
+    }
+    void ReadSnapshot(const state::Endpoint& host,
+                      ChangesHandler handler) override {
+      Host& other = this->fleet.At(host.address);
+      const state::TimePoint now = this->fleet.time.Now();
+      this->fleet.time.RunAt(now + Milliseconds(1), [this, &other, handler] {
+        if (!other.is_up) {
+          handler(std::nullopt);
+          return;
+        }
+        handler(other.history.Snapshot(this->fleet.time.Now()));
+      });
+    }
+    bool Knows(std::uint64_t revision) const {
+      const std::vector<state::FailureDomainId> out =
+          this->fixture.servers.DomainsOut();
+      return std::count(out.begin(), out.end(),
+                        state::FailureDomainId("domain" +
+                                               std::to_string(revision))) > 0;
+    }
+
+    SharingFleet& fleet;
+    bool is_up = true;
+    RelayFixture fixture;
+    GathererRoster roster;
+    FakeSource source;
+    ChangeHistory history;
+    SharedSource shared;
+    SourceFollower follower;
+  };
+
+  explicit SharingFleet(int size) {
+    for (int index = 0; index < size; ++index) {
+      state::HostAdvert own;
+      own.id = state::HostId("h" + std::to_string(index));
+      own.domain = state::FailureDomainId("a");
+      own.endpoint = {own.id.Text(), 80};
+      own.cores = index < 2 ? 0.5 : 0.12;
+      own.takes_work = true;
+      this->adverts.push_back(own);
+      this->hosts.emplace(own.id.Text(), std::make_unique<Host>(*this, own));
+    }
+  }
+  Host& At(const std::string& id) { return *this->hosts.at(id); }
+  /// All hosts hear of each other; watchers that are down say nothing.
+  void Introduce() {
+    for (const auto& [id, host] : this->hosts) {
+      for (const state::HostAdvert& advert : this->adverts) {
+        if (!this->At(advert.id.Text()).is_up) continue;
+        host->roster.Hear(advert, this->time.Now());
+      }
+    }
+  }
+  void Start() {
+    for (const auto& [id, host] : this->hosts) host->follower.Start();
+  }
+  void Advance(state::Duration duration) {
+    for (state::Duration passed{0}; passed < duration;
+         passed += Milliseconds(100)) {
+      this->Introduce();
+      this->time.Advance(Milliseconds(100));
+    }
+  }
+  /// Writes a change at the source, as all hosts see it.
+  std::uint64_t Write() {
+    std::uint64_t revision = 0;
+    for (const auto& [id, host] : this->hosts) {
+      host->source.Write();
+      revision = host->source.revision;
+    }
+    return revision;
+  }
+  void SetSourceUp(bool is_up) {
+    for (const auto& [id, host] : this->hosts) host->source.is_up = is_up;
+  }
+  int CountKnowing(std::uint64_t revision) {
+    int count = 0;
+    for (const auto& [id, host] : this->hosts) {
+      if (host->is_up && host->Knows(revision)) ++count;
+    }
+    return count;
+  }
+  int Calls() {
+    int calls = 0;
+    for (const auto& [id, host] : this->hosts) {
+      calls += host->source.reads + host->source.watches;
+    }
+    return calls;
+  }
+
+  fleet_testing::VirtualTime time;
+  FixedRandomSource random{3};
+  NameDecoder decoder;
+
+ private:
+  std::vector<state::HostAdvert> adverts;
+  std::map<std::string, std::unique_ptr<Host>> hosts;
+};
+
+constexpr int kHosts = 20;
+
+TEST_CASE("Two watchers call the source and all hosts hear of each change") {
+  SharingFleet fleet(kHosts);
+  fleet.Start();
+  fleet.Advance(Milliseconds(6'000));
+  const int calls_at_start = fleet.Calls();
+  for (int index = 0; index < 10; ++index) {
+    const std::uint64_t revision = fleet.Write();
+    fleet.Advance(Milliseconds(1'000));
+    CHECK(fleet.CountKnowing(revision) == kHosts);
+  }
+  fleet.Advance(Milliseconds(20'000));
+  // Two watchers for 30 s at 2 s a call, and one call a change.
+  CHECK(fleet.Calls() - calls_at_start <= 2 * (15 + 10 + 2));
+}
+
+TEST_CASE("A small domain follows the source host by host") {
+  SharingFleet fleet(4);
+  fleet.Start();
+  fleet.Advance(Milliseconds(10'000));
+  for (const char* id : {"h0", "h1", "h2", "h3"}) {
+    CHECK(fleet.At(id).source.watches > 0);
+  }
+}
+
+// The tightest of the users' bounds on an order to take a domain out is 5 s,
+// from its acknowledgement to the last request.
+constexpr state::Duration kOrderBound = Milliseconds(5'000);
+
+TEST_CASE("Changes reach all hosts in time when watchers die or fall silent") {
+  for (const int dead : {1, 2}) {
+    SharingFleet fleet(kHosts);
+    fleet.Start();
+    fleet.Advance(Milliseconds(8'000));
+    for (int index = 0; index < dead; ++index) {
+      fleet.At("h" + std::to_string(index)).is_up = false;
+    }
+    const std::uint64_t revision = fleet.Write();
+    fleet.Advance(kOrderBound);
+    CHECK(fleet.CountKnowing(revision) == kHosts - dead);
+  }
+}
+
+TEST_CASE("Changes reach all hosts in time when watchers lose the source") {
+  for (const int cut : {1, 2}) {
+    SharingFleet fleet(kHosts);
+    fleet.Start();
+    fleet.Advance(Milliseconds(8'000));
+    for (int index = 0; index < cut; ++index) {
+      fleet.At("h" + std::to_string(index)).source.is_up = false;
+    }
+    const std::uint64_t revision = fleet.Write();
+    fleet.Advance(kOrderBound);
+    CHECK(fleet.CountKnowing(revision) >= kHosts - cut);
+    // Those that lost the source hear of changes from the other watcher only
+    // as followers; they are out of touch.
+    for (int index = 0; index < cut; ++index) {
+      fleet.At("h" + std::to_string(index)).source.is_up = true;
+    }
+    fleet.Advance(Milliseconds(8'000));
+    CHECK(fleet.CountKnowing(revision) == kHosts);
+  }
+}
+
+TEST_CASE("A host of which the source refuses calls hears from a watcher") {
+  SharingFleet fleet(kHosts);
+  fleet.At("h7").source.is_up = false;
+  fleet.Start();
+  fleet.Advance(Milliseconds(4'000));
+  const std::uint64_t revision = fleet.Write();
+  fleet.Advance(Milliseconds(2'000));
+  CHECK(fleet.CountKnowing(revision) == kHosts);
+}
+
+TEST_CASE("An outage of the source is not called by all hosts at once") {
+  SharingFleet fleet(kHosts);
+  fleet.Start();
+  fleet.Advance(Milliseconds(8'000));
+  fleet.SetSourceUp(false);
+  const int calls_before = fleet.Calls();
+  fleet.Advance(Milliseconds(10'000));
+  // Followed directly: one call each 0.2 to 0.6 s a host, some 400.
+  CHECK(fleet.Calls() - calls_before <= 260);
+  const std::uint64_t revision = fleet.Write();
+  fleet.SetSourceUp(true);
+  fleet.Advance(Milliseconds(3'000));
+  CHECK(fleet.CountKnowing(revision) == kHosts);
+}
+
+TEST_CASE("A snapshot older than what a host knows is not used") {
+  SharingFleet fleet(kHosts);
+  fleet.Start();
+  fleet.Advance(Milliseconds(8'000));
+  SharingFleet::Host& host = fleet.At("h9");
+  const std::uint64_t newest = fleet.Write();
+  fleet.Advance(Milliseconds(2'000));
+  REQUIRE(host.Knows(newest));
+  // Watchers that went back, as nothing here should.
+  for (const char* id : {"h0", "h1"}) {
+    RoutingBatch old;
+    old.revision = 1;
+    fleet.At(id).history.RecordSnapshot(old, fleet.time.Now());
+  }
+  bool is_answered = false;
+  host.shared.ReadAll(
+      [&](const state::Result<RoutingBatch, SourceFailure>& result) {
+        is_answered = true;
+        REQUIRE(state::IsOk(result));
+        CHECK(state::ValueOf(result).revision >= newest);
+      });
+  fleet.time.Advance(Milliseconds(100));
+  CHECK(is_answered);
+}
+
+}  // namespace
+}  // namespace banyanknot::coordination::routing_testing
--- a/test/platform/edge/edge_delegation_test.cc
+++ b/test/platform/edge/edge_delegation_test.cc
@@ -1,7 +1,9 @@
 #include <catch2/catch.hpp>
+#include <chrono>
 #include <csignal>
 #include <memory>
 #include <string>
+#include <thread>
 #include <vector>
 
 #include "platform/edge/edge_world.h"
@@ -169,5 +171,88 @@
   CHECK(StatusOf(fleet.Gather()) == 200);
 }
 
+/// Eight edges of one failure domain.
+struct FollowingWorld {
+  static constexpr int kEdges = 8;
+
+  FollowingWorld() {
+    for (int index = 0; index < kEdges; ++index) {
+      this->edges.push_back(std::make_unique<EdgeProcess>(
+          "edge-" + std::to_string(index), "a", this->world.Store().Address(),
+          this->world.Ports(), this->folder.Path() + "/log"));
+    }
+    for (const std::unique_ptr<EdgeProcess>& edge : this->edges) {
+      edge->JoinFleet({this->edges[0]->Peers(), this->edges[5]->Peers()}, 0.2);
+      edge->Start();
+    }
+    REQUIRE(WaitFor([this] {
+      for (const std::unique_ptr<EdgeProcess>& edge : this->edges) {
+        if (!edge->IsReady()) return false;
+      }
+      return true;
+    }));
+  }
+  /// Returns the version of the routes in force; 0 if the edge doesn't reply.
+  static double Version(const EdgeProcess& edge) {
+    return DelegationWorld::Metric(edge, "banyanknot_routes_version");
+  }
+  bool WaitForVersion(double version, int first) {
+    return WaitFor([this, version, first] {
+      for (int index = first; index < kEdges; ++index) {
+        if (Version(*this->edges[index]) < version) return false;
+      }
+      return true;
+    });
+  }
+  /// Waits until the store gets about as few calls as two watchers make.
+  bool WaitUntilFollowing() {
+    return WaitFor([this] {
+      const std::size_t before = this->world.Store().Calls();
+      std::this_thread::sleep_for(std::chrono::milliseconds(4'500));
+      return this->world.Store().Calls() - before <= 7;
+    });
+  }
+
+  EdgeWorld world;
+  standins::TemporaryFolder folder;
+  std::vector<std::unique_ptr<EdgeProcess>> edges;
+};
+
+TEST_CASE("Edges of a domain follow the store through two of them") {
+  FollowingWorld fleet;
+  REQUIRE(fleet.WaitUntilFollowing());
+  fleet.world.PutRoutes(5);
+  CHECK(fleet.WaitForVersion(5, 0));
+  // The first edges by name are the watchers. Frozen ones are noticed.
+  fleet.edges[0]->Signal(SIGSTOP);
+  fleet.edges[1]->Signal(SIGSTOP);
+  const auto frozen_at = std::chrono::steady_clock::now();
+  fleet.world.PutRoutes(6);
+  CHECK(fleet.WaitForVersion(6, 2));
+  CHECK(std::chrono::steady_clock::now() - frozen_at <
+        std::chrono::milliseconds(5'000));
+  fleet.edges[0]->Signal(SIGCONT);
+  fleet.edges[1]->Signal(SIGCONT);
+  fleet.world.PutRoutes(7);
+  CHECK(fleet.WaitForVersion(7, 0));
+}
+
+TEST_CASE("An edge that starts while the store refuses it learns from others") {
+  FollowingWorld fleet;
+  REQUIRE(fleet.WaitUntilFollowing());
+  EdgeProcess& late = *fleet.edges[7];
+  late.Signal(SIGKILL);
+  REQUIRE(late.WaitForExit(kExitTimeout));
+  fleet.world.Store().SetMode(StoreMode::kRefusing);
+  late.Start();
+  CHECK(WaitFor([&late] {
+    RawCaller caller(late.Callers());
+    return StatusOf(caller.Call("/desk/1", "late")) == 200;
+  }));
+  fleet.world.Store().SetMode(StoreMode::kUp);
+  fleet.world.PutRoutes(9);
+  CHECK(fleet.WaitForVersion(9, 0));
+}
+
 }  // namespace
 }  // namespace banyanknot::platform::edge_testing
--- a/test/platform/edge/store_stand_in.cc
+++ b/test/platform/edge/store_stand_in.cc
@@ -122,6 +122,7 @@
 }
 
 void StoreStandIn::Handle(std::shared_ptr<transport::HttpExchange> exchange) {
+  ++this->calls;
   const std::string target = exchange->Request().target;
   const bool is_watch = target.find(wire::kWatchPath) == 0;
   std::unique_lock<std::mutex> lock(this->mutex);
--- a/test/platform/edge/store_stand_in.h
+++ b/test/platform/edge/store_stand_in.h
@@ -1,6 +1,8 @@
 #ifndef BANYANKNOT_TEST_PLATFORM_EDGE_STORE_STAND_IN_H_
 #define BANYANKNOT_TEST_PLATFORM_EDGE_STORE_STAND_IN_H_
 
+#include <atomic>
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -41,6 +43,9 @@
   void PutRaw(const std::string& key, const std::string& encoded);
   void Delete(const std::string& key);
 
+  /// \brief Returns the number of requests since the start.
+  std::size_t Calls() const { return this->calls; }
+
   void Handle(std::shared_ptr<transport::HttpExchange> exchange) override;
 
  private:
@@ -54,6 +59,7 @@
   protocol::HttpResponse Range() const;
   void AnswerWatches();
 
+  std::atomic<std::size_t> calls{0};
   mutable std::mutex mutex;
   StoreMode mode = StoreMode::kUp;
   std::uint64_t revision = 1;
--- /dev/null
+++ b/tools/sanitize.sh
@@ -0,0 +1,35 @@
+#!/usr/bin/env bash
+# Builds with sanitizers and runs the tests, and each fuzzer for a while.
+# tools/sanitize.sh [SECONDS], SECONDS for each fuzz target (default 5).
+# Address and undefined behaviour over all tests but those of whole deployments,
+# whose time bounds a sanitizer would break; threads over the threaded ones.
+set -euo pipefail
+root=$(cd "$(dirname "$0")/.." && pwd)
+seconds=${1:-5}
+address=${BUILD_DIR:-$root/build}-address
+thread=${BUILD_DIR:-$root/build}-thread
+export CCACHE_BASEDIR=$root CCACHE_NOHASHDIR=1
+configure() {
+  cmake -S "$root" -B "$1" -G Ninja -DCMAKE_CXX_COMPILER_LAUNCHER=ccache -DCMAKE_CXX_COMPILER=clang++ "${@:2}" >"$1.log" 2>&1 ||
+    { cat "$1.log"; exit 1; }
+}
+configure "$address" -DBANYANKNOT_FUZZ=ON \
+  -DBANYANKNOT_SANITIZE=address,undefined,float-cast-overflow,fuzzer-no-link
+configure "$thread" -DBANYANKNOT_SANITIZE=thread
+programs=(state protocol coordination transport platform standins ctl fuzz)
+cmake --build "$address" --target "${programs[@]/%/_tests}" decoder_fuzzer
+for program in "${programs[@]}"; do "$address/test/${program}_tests"; done
+cmake --build "$thread" --target state_tests coordination_tests transport_tests
+"$thread/test/state_tests"
+"$thread/test/coordination_tests" "*thread*"
+"$thread/test/transport_tests"
+mapfile -t targets < <("$address/test/decoder_fuzzer" 2>&1 </dev/null | sed -n 's/^  \([a-z_]*\)$/\1/p')
+[ ${#targets[@]} -gt 0 ]
+for target in "${targets[@]}"; do
+  work=$(mktemp -d)
+  (cd "$work" && BANYANKNOT_FUZZ_TARGET=$target "$address/test/decoder_fuzzer" \
+    -seed=1 -max_total_time="$seconds" -max_len=4096 -rss_limit_mb=1024 -timeout=10 "$work" >"$work.log" 2>&1) ||
+    { tail -40 "$work.log"; echo "fuzz target $target failed; input in $work"; exit 1; }
+  rm -rf "$work" "$work.log"
+  echo "fuzz target $target: $seconds s"
+done
