Close a connection on which another request's answer arrived

Cause: a late second copy of an answer was told apart by its id and discarded, but its connection stayed in use: from then on each request got the answer of the one before, was failed as another's and sent again, until the connection's end. Both front doors did so.

Change: a call says whether a response belongs to it; the connection of one that does not is closed.

Shown: of four calls after the copy, three got the answer of the call before; now each its own. Also tests that answers cut between chunks or ended by a reset are never complete.

--- a/include/banyanknot/protocol/relay_codec.h
+++ b/include/banyanknot/protocol/relay_codec.h
@@ -34,6 +34,10 @@
   /// DecodeRequest().
   virtual HttpRequest EncodeDelegated(
       const state::RelayRequest& request) const = 0;
+  /// \brief Returns true if a response says that it belongs to another request
+  /// than `request_id`.
+  virtual bool IsOtherRequest(const HttpResponse& response,
+                              const std::string& request_id) const = 0;
   /// \brief Decodes a backend server's reply to request `request_id`.
   virtual coordination::RelayReply DecodeReply(
       HttpResponse response, const std::string& request_id) const = 0;
--- a/include/banyanknot/transport/http_connection_pool.h
+++ b/include/banyanknot/transport/http_connection_pool.h
@@ -26,6 +26,10 @@
   bool is_idempotent =
       true;  ///< false: sent only on a connection with a recent reply
   std::size_t max_response_bytes = 64u << 20;  ///< of the body
+  /// Tells whether a response belongs to this call. One that does not is
+  /// delivered all the same, and its connection is closed: what comes next on
+  /// it would belong to this call. May be empty.
+  std::function<bool(const protocol::HttpResponse&)> is_answer;
   /// Asked immediately before the first byte is written; on false the call
   /// fails with kWithdrawn. May be empty.
   std::function<bool()> may_write;
--- a/src/transport/backend_http_client.cc
+++ b/src/transport/backend_http_client.cc
@@ -1,6 +1,8 @@
 #include "banyanknot/transport/backend_http_client.h"
 
 #include <algorithm>
+#include <memory>
+#include <optional>
 #include <utility>
 
 #include "banyanknot/protocol/backend_codec.h"
@@ -11,12 +13,12 @@
 
 constexpr state::Duration kCancelTimeout = state::Milliseconds(200);
 
-coordination::BackendResult ToBackendResult(const HttpCallResult& result) {
-  if (!state::IsOk(result)) {
-    return internal::BackendFailureOf(state::ErrorOf(result));
-  }
+using DecodedReply = std::optional<coordination::BackendResult>;
+
+coordination::BackendResult DecodeReply(
+    const protocol::HttpResponse& response) {
   state::Result<state::SubReply, protocol::ProtocolError> reply =
-      protocol::DecodeSubReply(state::ValueOf(result).body);
+      protocol::DecodeSubReply(response.body);
   if (!state::IsOk(reply)) return coordination::BackendFailure::kBadReply;
   return state::TakeValue(std::move(reply));
 }
@@ -33,10 +35,24 @@
   call.deadline = request.deadline;
   call.is_idempotent = request.is_idempotent;
   call.max_response_bytes = protocol::kMaxSubReplyBytes;
+  // Decoded once: first to see whether it belongs to this call.
+  const std::shared_ptr<DecodedReply> decoded =
+      std::make_shared<DecodedReply>();
+  call.is_answer = [decoded, id = request.request, attempt = request.attempt](
+                       const protocol::HttpResponse& response) {
+    *decoded = DecodeReply(response);
+    if (!state::IsOk(**decoded)) return true;
+    const state::SubReply& reply = state::ValueOf(**decoded);
+    return reply.request == id && reply.attempt == attempt;
+  };
   this->pools.Of(request.server, request.endpoint)
-      .requests->Call(std::move(call), [handler = std::move(handler)](
+      .requests->Call(std::move(call), [decoded, handler = std::move(handler)](
                                            const HttpCallResult& result) {
-        handler(ToBackendResult(result));
+        if (state::IsOk(result)) {
+          handler(std::move(**decoded));
+        } else {
+          handler(internal::BackendFailureOf(state::ErrorOf(result)));
+        }
       });
 }
 
--- a/src/transport/client_connection.cc
+++ b/src/transport/client_connection.cc
@@ -446,8 +446,10 @@
   if (this->is_silent && this->pool->TryReacquireSlot()) {
     this->is_silent = false;
   }
+  const bool is_answer =
+      !finished->call.is_answer || finished->call.is_answer(response);
   // Extra bytes after a complete reply belong to no call.
-  if (!keep_alive || this->is_silent || this->buffer.size() > 0) {
+  if (!keep_alive || this->is_silent || this->buffer.size() > 0 || !is_answer) {
     this->CloseNow();
   } else {
     this->ReturnToPool();
--- a/src/transport/host_http_link.cc
+++ b/src/transport/host_http_link.cc
@@ -100,6 +100,10 @@
   call.send_before = now + kConnectTimeout;
   call.deadline = request.deadline;
   call.max_response_bytes = kMaxAnswerBytes;
+  call.is_answer =
+      [this, id = request.request->id](const protocol::HttpResponse& response) {
+        return !this->codec.IsOtherRequest(response, id);
+      };
   const PoolPtr pool = this->PoolOf(host);
   HttpCallHandle handle = pool->Call(
       std::move(call), [this, id = request.request->id,
--- a/src/transport/relay_http_client.cc
+++ b/src/transport/relay_http_client.cc
@@ -85,6 +85,10 @@
   call.deadline = send.deadline + kDeadlineSlack;
   call.is_idempotent = send.is_idempotent;
   call.max_response_bytes = send.max_reply_bytes;
+  call.is_answer =
+      [this, id = send.request->id](const protocol::HttpResponse& response) {
+        return !this->codec.IsOtherRequest(response, id);
+      };
   call.may_write = [this, notices = send.notices] {
     return notices->AcceptsRequests(this->clock.Now());
   };
--- a/test/transport/http_connection_pool_test.cc
+++ b/test/transport/http_connection_pool_test.cc
@@ -319,5 +319,57 @@
   CHECK(fixture.CountOf("/call") == 100);
 }
 
+TEST_CASE("An answer that breaks off is never a success") {
+  for (const ResponseMode mode :
+       {ResponseMode::kTruncated, ResponseMode::kChunkedCut,
+        ResponseMode::kNoLengthReset, ResponseMode::kGarbage,
+        ResponseMode::kReset}) {
+    INFO(static_cast<int>(mode));
+    PoolFixture fixture([mode](const ReceivedRequest&) { return mode; },
+                        OptionsOf(1));
+    CHECK_FALSE(state::IsOk(fixture.Run("x", Milliseconds(5'000))));
+  }
+  PoolFixture fixture(
+      [](const ReceivedRequest&) { return ResponseMode::kNoLengthClose; },
+      OptionsOf(1));
+  CHECK(state::IsOk(fixture.Run("x", Milliseconds(5'000))));
+}
+
+TEST_CASE(
+    "An answer to another call costs its connection, not the next calls") {
+  // The server sends a second copy of the first answer when the second is due.
+  PoolFixture fixture(
+      [](const ReceivedRequest& seen) {
+        return seen.body == "0" ? ResponseMode::kEchoTwiceLate
+                                : ResponseMode::kEcho;
+      },
+      OptionsOf(1));
+  const auto call = [&fixture](const std::string& body) {
+    HttpCall sent;
+    sent.request = {"POST", "/call", body};
+    sent.deadline = fixture.clock.Now() + Milliseconds(5'000);
+    sent.send_before = sent.deadline;
+    sent.is_answer = [body](const protocol::HttpResponse& response) {
+      return response.body == body;
+    };
+    const std::shared_ptr<std::promise<HttpCallResult>> promise =
+        std::make_shared<std::promise<HttpCallResult>>();
+    fixture.pool.Call(std::move(sent), [promise](HttpCallResult result) {
+      promise->set_value(std::move(result));
+    });
+    return PoolFixture::Await(promise->get_future());
+  };
+  const HttpCallResult first = call("0");
+  REQUIRE(state::IsOk(first));
+  CHECK(state::ValueOf(first).body == "0");
+  const HttpCallResult crossed = call("1");
+  if (state::IsOk(crossed)) CHECK(state::ValueOf(crossed).body == "0");
+  for (const char* body : {"2", "3", "4"}) {
+    const HttpCallResult next = call(body);
+    REQUIRE(state::IsOk(next));
+    CHECK(state::ValueOf(next).body == body);
+  }
+}
+
 }  // namespace
 }  // namespace banyanknot::transport
--- a/test/transport/scripted_server.h
+++ b/test/transport/scripted_server.h
@@ -4,6 +4,7 @@
 #include <atomic>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/strand.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core.hpp>
@@ -12,6 +13,7 @@
 #include <memory>
 #include <mutex>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "banyanknot/state/endpoint.h"
@@ -29,6 +31,11 @@
   kTruncated,         ///< answers with half a response, then closes
   kAnswerTwice,       ///< sends two answers to one request
   kAnswerShortLived,  ///< announces a Keep-Alive timeout of 2 s
+  kEcho,              ///< answers with the request's body
+  kEchoTwiceLate,     ///< the same, and again before the next answer
+  kChunkedCut,        ///< ends between two chunks of an answer
+  kNoLengthClose,     ///< an answer without a length, ended by a close
+  kNoLengthReset,     ///< an answer without a length, cut by a reset
 };
 
 /// \brief One request received by a scripted server.
@@ -65,6 +72,7 @@
 
  private:
   using tcp = boost::asio::ip::tcp;
+  static constexpr std::chrono::milliseconds kServiceTime{30};
 
   struct Shared : std::enable_shared_from_this<Shared> {
     Shared(boost::asio::io_context& context, Script script)
@@ -87,6 +95,7 @@
     void ReadNext();
     std::string Source() const;
     void Respond(ResponseMode mode);
+    void Echo();
     void WriteAndClose(const std::string& bytes);
     void WriteAndReadOn(std::string text);
 
@@ -96,6 +105,7 @@
     boost::beast::flat_buffer buffer;
     boost::beast::http::request<boost::beast::http::string_body> request;
     std::string bytes;
+    std::string late_copy;  // of an answer, sent with the next one
   };
 
   std::shared_ptr<Shared> shared;
@@ -173,7 +183,53 @@
     case ResponseMode::kTruncated:
       this->WriteAndClose(answer.substr(0, answer.size() - 1));
       return;
+    case ResponseMode::kEcho:
+      this->Echo();
+      return;
+    case ResponseMode::kEchoTwiceLate:
+      this->Echo();
+      this->late_copy = this->bytes;
+      return;
+    case ResponseMode::kChunkedCut:
+      this->WriteAndClose(
+          "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n");
+      return;
+    case ResponseMode::kNoLengthClose:
+      this->WriteAndClose("HTTP/1.1 200 OK\r\n\r\n{}");
+      return;
+    case ResponseMode::kNoLengthReset:
+      boost::asio::write(this->socket,
+                         boost::asio::buffer(std::string("HTTP/1.1 200 OK\r\n"
+                                                         "\r\n{}")),
+                         ignored);
+      this->socket.set_option(boost::asio::socket_base::linger(true, 0),
+                              ignored);
+      this->socket.close(ignored);
+      return;
+  }
+}
+
+inline void ScriptedServer::Connection::Echo() {
+  const std::string& body = this->request.body();
+  const std::string answer =
+      "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) +
+      "\r\n\r\n" + body;
+  if (this->late_copy.empty()) {
+    this->WriteAndReadOn(answer);
+    return;
   }
+  boost::system::error_code ignored;
+  boost::asio::write(this->socket, boost::asio::buffer(this->late_copy),
+                     ignored);
+  this->late_copy.clear();
+  // The answer itself takes its time.
+  const std::shared_ptr<boost::asio::steady_timer> timer =
+      std::make_shared<boost::asio::steady_timer>(this->socket.get_executor(),
+                                                  kServiceTime);
+  timer->async_wait([self = this->shared_from_this(), timer,
+                     answer](const boost::system::error_code& /*error*/) {
+    self->WriteAndReadOn(answer);
+  });
 }
 
 inline void ScriptedServer::Connection::WriteAndReadOn(std::string text) {
