--- a/include/banyanknot/coordination/delegation/shared_source.h
+++ b/include/banyanknot/coordination/delegation/shared_source.h
@@ -1,15 +1,19 @@
 #ifndef BANYANKNOT_COORDINATION_DELEGATION_SHARED_SOURCE_H_
 #define BANYANKNOT_COORDINATION_DELEGATION_SHARED_SOURCE_H_
 
+#include <atomic>
 #include <cstdint>
 #include <map>
 #include <mutex>
 #include <optional>
+#include <vector>
 
 #include "banyanknot/coordination/clock.h"
 #include "banyanknot/coordination/delegation/change_history.h"
 #include "banyanknot/coordination/delegation/gatherer_roster.h"
 #include "banyanknot/coordination/delegation/host_link.h"
+#include "banyanknot/coordination/event_log.h"
+#include "banyanknot/coordination/metric_source.h"
 #include "banyanknot/coordination/routing/routing_source.h"
 
 namespace banyanknot::coordination {
@@ -21,7 +25,7 @@
 /// for kMaxAge, is left for the other one and then for the source. What this
 /// host hears from the source goes into the ChangeHistory for its own
 /// followers. Thread-safe.
-class SharedSource : public RoutingSource {
+class SharedSource : public RoutingSource, public MetricSource {
  public:
   /// A watcher's history may be this old: longer than its own wait at the
   /// source, and well within the time in which changes must take effect.
@@ -33,15 +37,17 @@
 
   SharedSource(const Clock& clock, RoutingSource& source, HostLink& link,
                GathererRoster& roster, const ChangeDecoder& decoder,
-               ChangeHistory& history);
+               ChangeHistory& history, EventLog& log);
 
   void ReadAll(RoutingBatchHandler handler) override;
   void Watch(std::uint64_t after, state::Duration wait,
              RoutingBatchHandler handler) override;
+  void CollectMetrics(std::vector<MetricSample>& samples) const override;
 
  private:
   std::optional<state::HostAdvert> PickWatcher(state::TimePoint now);
-  void LeaveOut(const state::HostId& host, state::TimePoint now);
+  void LeaveOut(const state::HostId& host,
+                const std::optional<PassedChanges>& passed);
   void ReadSource(RoutingBatchHandler handler);
   void WatchSource(std::uint64_t after, state::Duration wait,
                    RoutingBatchHandler handler);
@@ -57,6 +63,10 @@
   GathererRoster& roster;
   const ChangeDecoder& decoder;
   ChangeHistory& history;
+  EventLog& log;
+  std::atomic<std::uint64_t> source_calls{0};
+  std::atomic<std::uint64_t> watcher_calls{0};
+  std::atomic<std::uint64_t> watchers_left_out{0};
   mutable std::mutex mutex;
   std::map<state::HostId, state::TimePoint> left_out_until;
   std::optional<state::TimePoint> source_failed_at;
--- a/include/banyanknot/coordination/event_code.h
+++ b/include/banyanknot/coordination/event_code.h
@@ -42,6 +42,7 @@
   kSourceEntryUnreadable = 5008,
   kReachLost = 5011,
   kReachRegained = 5012,
+  kWatcherLeftOut = 5013,
   kSettingsReloaded = 5009,
   kSettingsRefused = 5010,
 };
@@ -55,7 +56,7 @@
 };
 
 /// \brief Every event, ordered by number.
-inline constexpr std::array<EventDescription, 31> kEventDescriptions{{
+inline constexpr std::array<EventDescription, 32> kEventDescriptions{{
     {EventCode::kHostStarting, "host_starting", LogSeverity::kInfo,
      "The process has read its settings and is starting."},
     {EventCode::kHostListening, "host_listening", LogSeverity::kInfo,
@@ -114,6 +115,8 @@
      "Most servers of other failure domains are unreachable; not ready."},
     {EventCode::kReachRegained, "reach_regained", LogSeverity::kInfo,
      "Servers of other failure domains are reachable again."},
+    {EventCode::kWatcherLeftOut, "watcher_left_out", LogSeverity::kInfo,
+     "A host that passes published changes on was left for another source."},
     {EventCode::kSettingsReloaded, "settings_reloaded", LogSeverity::kInfo,
      "The settings file was reloaded."},
     {EventCode::kSettingsRefused, "settings_refused", LogSeverity::kError,
