--- a/include/banyanknot/coordination/delegation/relay_dispatcher.h
+++ b/include/banyanknot/coordination/delegation/relay_dispatcher.h
@@ -67,6 +67,8 @@
   std::atomic<std::uint64_t> answered{0};
   std::atomic<std::uint64_t> returned{0};
   std::atomic<std::uint64_t> lost{0};
+  std::atomic<std::int64_t> last_log_second{0};
+  std::atomic<unsigned> logged_in_second{0};
   state::ShardedTable<std::uint64_t, Delegation> delegations;
 };
 
--- a/src/coordination/delegation/relay_dispatcher.cc
+++ b/src/coordination/delegation/relay_dispatcher.cc
@@ -17,6 +17,9 @@
 /// Beyond the gatherer's own deadline, so that its answer comes first.
 constexpr state::Duration kAnswerSlack = state::Milliseconds(20);
 
+/// All failures are counted; those beyond this are not logged.
+constexpr unsigned kMaxLogLinesPerSecond = 10;
+
 // Run numbers of the local runner and of delegations share one space.
 std::uint64_t LocalNumber(std::uint64_t number) { return number * 2; }
 std::uint64_t DelegatedNumber(std::uint64_t number) { return number * 2 + 1; }
@@ -178,6 +181,14 @@
 
 void RelayDispatcher::LogFailure(const Order& order,
                                  DelegationFailure failure) {
+  constexpr std::int64_t kMillisecondsPerSecond = 1'000;
+  const std::int64_t second =
+      state::ToMilliseconds(this->clock.Now().time_since_epoch()) /
+      kMillisecondsPerSecond;
+  if (this->last_log_second.exchange(second) != second) {
+    this->logged_in_second = 0;
+  }
+  if (++this->logged_in_second > kMaxLogLinesPerSecond) return;
   this->log.Write(EventCode::kDelegationFailed,
                   {{"request", order.request->id},
                    {"host", order.gatherer.id.Text()},
--- a/src/coordination/delegation/shared_source.cc
+++ b/src/coordination/delegation/shared_source.cc
@@ -1,6 +1,7 @@
 #include "banyanknot/coordination/delegation/shared_source.h"
 
 #include <algorithm>
+#include <string>
 #include <utility>
 
 namespace banyanknot::coordination {
@@ -16,13 +17,15 @@
 
 SharedSource::SharedSource(const Clock& clock, RoutingSource& source,
                            HostLink& link, GathererRoster& roster,
-                           const ChangeDecoder& decoder, ChangeHistory& history)
+                           const ChangeDecoder& decoder, ChangeHistory& history,
+                           EventLog& log)
     : clock(clock),
       source(source),
       link(link),
       roster(roster),
       decoder(decoder),
-      history(history) {}
+      history(history),
+      log(log) {}
 
 std::optional<state::HostAdvert> SharedSource::PickWatcher(
     state::TimePoint now) {
@@ -39,7 +42,22 @@
   return std::nullopt;
 }
 
-void SharedSource::LeaveOut(const state::HostId& host, state::TimePoint now) {
+void SharedSource::LeaveOut(const state::HostId& host,
+                            const std::optional<PassedChanges>& passed) {
+  const state::TimePoint now = this->clock.Now();
+  ++this->watchers_left_out;
+  const char* reason = "stale";
+  if (!passed) {
+    reason = "silent";
+  } else if (passed->is_history_gone) {
+    reason = "history_gone";
+  }
+  this->log.Write(
+      EventCode::kWatcherLeftOut,
+      {{"host", host.Text()},
+       {"reason", reason},
+       {"age_ms", passed ? std::to_string(state::ToMilliseconds(passed->age))
+                         : "unknown"}});
   const std::lock_guard<std::mutex> lock(this->mutex);
   for (auto entry = this->left_out_until.begin();
        entry != this->left_out_until.end();) {
@@ -97,6 +115,7 @@
 }
 
 void SharedSource::ReadSource(RoutingBatchHandler handler) {
+  ++this->source_calls;
   this->source.ReadAll([this, handler = std::move(handler)](
                            state::Result<RoutingBatch, SourceFailure> result) {
     const state::TimePoint now = this->clock.Now();
@@ -124,13 +143,14 @@
           handler(this->ToBatch(*passed));
           return;
         }
-        this->LeaveOut(id, this->clock.Now());
+        this->LeaveOut(id, passed);
         this->ReadSource(std::move(handler));
       });
 }
 
 void SharedSource::WatchSource(std::uint64_t after, state::Duration wait,
                                RoutingBatchHandler handler) {
+  ++this->source_calls;
   const state::Duration own_wait =
       this->roster.MayHaveFollowers(this->clock.Now())
           ? std::min(wait, kWatcherWait)
@@ -157,6 +177,7 @@
     this->WatchSource(after, wait, std::move(handler));
     return;
   }
+  ++this->watcher_calls;
   this->link.FollowChanges(
       watcher->endpoint, after, kFollowerWait,
       [this, after, wait, id = watcher->id, handler = std::move(handler)](
@@ -164,14 +185,14 @@
         const state::TimePoint now = this->clock.Now();
         if (!passed) {
           this->roster.Suspect(id, now);
-          this->LeaveOut(id, now);
+          this->LeaveOut(id, passed);
           this->Watch(after, wait, std::move(handler));
           return;
         }
         const bool is_fresh =
             passed->age <= kMaxAge || this->HasSourceJustFailed(now);
         if (passed->is_history_gone || !is_fresh) {
-          this->LeaveOut(id, now);
+          this->LeaveOut(id, passed);
           this->WatchSource(after, wait, std::move(handler));
           return;
         }
@@ -179,4 +200,20 @@
       });
 }
 
+void SharedSource::CollectMetrics(std::vector<MetricSample>& samples) const {
+  const auto add = [&samples](const char* name, const char* help,
+                              double value) {
+    samples.push_back({name, help, MetricKind::kCounter, {}, value});
+  };
+  add("banyanknot_relay_source_calls_total",
+      "Reads and watches at the source of published changes.",
+      static_cast<double>(this->source_calls));
+  add("banyanknot_relay_watcher_calls_total",
+      "Waits for published changes at other hosts.",
+      static_cast<double>(this->watcher_calls));
+  add("banyanknot_relay_watchers_left_out_total",
+      "Times that another host was silent or out of date.",
+      static_cast<double>(this->watchers_left_out));
+}
+
 }  // namespace banyanknot::coordination
--- a/test/coordination/delegation/shared_source_test.cc
+++ b/test/coordination/delegation/shared_source_test.cc
@@ -104,7 +104,8 @@
         : fleet(fleet),
           roster(own),
           source(fleet.time),
-          shared(fleet.time, source, *this, roster, fleet.decoder, history),
+          shared(fleet.time, source, *this, roster, fleet.decoder, history,
+                 fixture.log),
           follower(fleet.time, fleet.time, fleet.random, shared, fixture.intake,
                    fixture.log, Milliseconds(6'000)) {}
     std::shared_ptr<RelayCall> Delegate(
