--- a/test/platform/edge/edge_delegation_test.cc
+++ b/test/platform/edge/edge_delegation_test.cc
@@ -226,7 +226,8 @@
   // The first edges by name are the watchers. Frozen ones are noticed.
   fleet.edges[0]->Signal(SIGSTOP);
   fleet.edges[1]->Signal(SIGSTOP);
-  const auto frozen_at = std::chrono::steady_clock::now();
+  const std::chrono::steady_clock::time_point frozen_at =
+      std::chrono::steady_clock::now();
   fleet.world.PutRoutes(6);
   CHECK(fleet.WaitForVersion(6, 2));
   CHECK(std::chrono::steady_clock::now() - frozen_at <
--- a/test/fuzz/fuzz_main.cc
+++ b/test/platform/fuzz/fuzz_main.cc
@@ -5,7 +5,7 @@
 #include <cstring>
 #include <string>
 
-#include "fuzz/fuzz_targets.h"
+#include "platform/fuzz/fuzz_targets.h"
 
 // Entry points of libFuzzer. The environment variable BANYANKNOT_FUZZ_TARGET
 // names the target.
--- a/test/fuzz/fuzz_targets.cc
+++ b/test/platform/fuzz/fuzz_targets.cc
@@ -1,4 +1,4 @@
-#include "fuzz/fuzz_targets.h"
+#include "platform/fuzz/fuzz_targets.h"
 
 #include <boost/beast/http.hpp>
 #include <nlohmann/json.hpp>
@@ -57,10 +57,9 @@
   return true;
 }
 
-template <typename Fields>
-std::vector<state::HeaderField> HeadersOf(const Fields& fields) {
+std::vector<state::HeaderField> HeadersOf(const http::fields& fields) {
   std::vector<state::HeaderField> headers;
-  for (const auto& field : fields) {
+  for (const http::fields::value_type& field : fields) {
     headers.push_back(
         {std::string(field.name_string()), std::string(field.value())});
   }
--- a/test/fuzz/fuzz_targets.h
+++ b/test/platform/fuzz/fuzz_targets.h
@@ -1,5 +1,5 @@
-#ifndef BANYANKNOT_TEST_FUZZ_FUZZ_TARGETS_H_
-#define BANYANKNOT_TEST_FUZZ_FUZZ_TARGETS_H_
+#ifndef BANYANKNOT_TEST_PLATFORM_FUZZ_FUZZ_TARGETS_H_
+#define BANYANKNOT_TEST_PLATFORM_FUZZ_FUZZ_TARGETS_H_
 
 #include <string>
 #include <vector>
@@ -18,4 +18,4 @@
 
 }  // namespace banyanknot::fuzz
 
-#endif  // BANYANKNOT_TEST_FUZZ_FUZZ_TARGETS_H_
+#endif  // BANYANKNOT_TEST_PLATFORM_FUZZ_FUZZ_TARGETS_H_
--- a/test/fuzz/fuzz_test.cc
+++ b/test/platform/fuzz/fuzz_test.cc
@@ -3,7 +3,7 @@
 #include <random>
 #include <string>
 
-#include "fuzz/fuzz_targets.h"
+#include "platform/fuzz/fuzz_targets.h"
 
 namespace banyanknot::fuzz {
 namespace {
--- a/test/protocol/fleet_codec_test.cc
+++ b/test/protocol/fleet_codec_test.cc
@@ -25,7 +25,8 @@
 }
 
 TEST_CASE("Adverts are read as they were written") {
-  const auto decoded = DecodeAdverts(EncodeAdverts({ExampleAdvert()}));
+  const state::Result<std::vector<state::HostAdvert>, ProtocolError> decoded =
+      DecodeAdverts(EncodeAdverts({ExampleAdvert()}));
   REQUIRE(state::IsOk(decoded));
   REQUIRE(state::ValueOf(decoded).size() == 1);
   const state::HostAdvert& advert = state::ValueOf(decoded).front();
@@ -73,13 +74,15 @@
   request.headers = {{"Host", "h"}};
   AddDelegationHeader({9, state::Milliseconds(3), state::Milliseconds(17)},
                       request);
-  const auto taken = TakeDelegationHeader(request);
+  const state::Result<DelegationHeader, ProtocolErrorCode> taken =
+      TakeDelegationHeader(request);
   REQUIRE(state::IsOk(taken));
   CHECK(state::ValueOf(taken).routes_version == 9);
   CHECK(state::ValueOf(taken).elapsed == state::Milliseconds(3));
   CHECK(state::ValueOf(taken).outside_time == state::Milliseconds(17));
   CHECK(request.headers.size() == 1);
-  const auto again = TakeDelegationHeader(request);
+  const state::Result<DelegationHeader, ProtocolErrorCode> again =
+      TakeDelegationHeader(request);
   REQUIRE_FALSE(state::IsOk(again));
   CHECK(state::ErrorOf(again) == ProtocolErrorCode::kMissing);
 }
@@ -93,7 +96,8 @@
       RemoveHeader(request.headers, name);
       request.headers.push_back({name, value});
       INFO(name << ": " << value);
-      const auto taken = TakeDelegationHeader(request);
+      const state::Result<DelegationHeader, ProtocolErrorCode> taken =
+          TakeDelegationHeader(request);
       REQUIRE_FALSE(state::IsOk(taken));
       CHECK(state::ErrorOf(taken) == ProtocolErrorCode::kMalformed);
     }
--- a/tools/sanitize.sh
+++ b/tools/sanitize.sh
@@ -16,7 +16,7 @@
 configure "$address" -DBANYANKNOT_FUZZ=ON \
   -DBANYANKNOT_SANITIZE=address,undefined,float-cast-overflow,fuzzer-no-link
 configure "$thread" -DBANYANKNOT_SANITIZE=thread
-programs=(state protocol coordination transport platform standins ctl fuzz)
+programs=(state protocol coordination transport platform standins ctl)
 cmake --build "$address" --target "${programs[@]/%/_tests}" decoder_fuzzer
 for program in "${programs[@]}"; do "$address/test/${program}_tests"; done
 cmake --build "$thread" --target state_tests coordination_tests transport_tests
--- a/tools/test.sh
+++ b/tools/test.sh
@@ -13,5 +13,6 @@
 "$root/tools/generate_schemas.py" --check
 "$root/tools/check_generated.sh"
 "$root/tools/lint.sh"
+"$root/tools/sanitize.sh"
 ctest --test-dir "${BUILD_DIR:-$root/build}/test" --output-on-failure
 grep '^test: ' "$root/KNOWN-RED.txt" | sed 's/^test:/known red, passed over:/' || true
