Take only marked answers of another host, with room for whole headers

A response of the other host's HTTP layer, for example a header beyond its limit, would have gone to the caller as the answer; now the gather runs here. The peer server takes headers at the operators' limit and this product's own on top.

--- a/daemons/relay_application.cc
+++ b/daemons/relay_application.cc
@@ -32,6 +32,11 @@
 constexpr double kHedgeQuantile = 0.92;
 /// Leaves file descriptors for connections to servers.
 constexpr std::size_t kMaxCallerConnections = 2'500;
+/// Several for each host of a failure domain.
+constexpr std::size_t kMaxPeerConnections = 1'024;
+/// A caller's header at the limit that operators set, and this product's own.
+constexpr std::size_t kMaxPeerHeaderBytes = 64u << 10;
+constexpr std::size_t kMaxPeerBodyBytes = 4u << 20;
 /// Time to read a body, added to the configured header timeout.
 constexpr state::Duration kBodyReadTimeout = state::Milliseconds(10'000);
 /// Share of the memory limit for replies that are still being received: 1/n.
@@ -77,6 +82,14 @@
   return advert;
 }
 
+transport::HttpServerLimits MakePeerServerLimits() {
+  transport::HttpServerLimits limits;
+  limits.max_connections = kMaxPeerConnections;
+  limits.max_header_bytes = kMaxPeerHeaderBytes;
+  limits.max_body_bytes = kMaxPeerBodyBytes;
+  return limits;
+}
+
 /// Returns the modification time, or 0 if the file can't be read.
 std::int64_t ModifiedAtNs(const std::string& file) {
   struct stat status {};
@@ -126,7 +139,7 @@
         dispatcher(clock, timers, host_link, roster, routes, executor, log),
         peer_service(clock, codec, readiness, routes, roster, change_history,
                      timers, executor),
-        peer_server(threads.Context(), peer_service, {}),
+        peer_server(threads.Context(), peer_service, MakePeerServerLimits()),
         front_service(clock, codec, readiness, dispatcher),
         caller_server(threads.Context(), front_service,
                       MakeHttpServerLimits({})),
--- a/daemons/relay_peer_service.cc
+++ b/daemons/relay_peer_service.cc
@@ -123,7 +123,9 @@
   const std::uint64_t run_number = this->executor.Run(
       std::move(decoded),
       [this, exchange, id](const coordination::RelayAnswer& answer) {
-        exchange->Respond(this->codec.EncodeAnswer(answer, id));
+        protocol::HttpResponse response = this->codec.EncodeAnswer(answer, id);
+        response.headers.push_back({protocol::kGatheredHeader, "1"});
+        exchange->Respond(std::move(response));
       });
   if (run_number == coordination::RelayRunner::kNoRun) return;
   exchange->OnClosed([this, run_number] { this->executor.Cancel(run_number); });
--- a/include/banyanknot/protocol/fleet_codec.h
+++ b/include/banyanknot/protocol/fleet_codec.h
@@ -28,6 +28,10 @@
 /// \brief Header of a reply to a request that was not started; says why.
 inline constexpr const char* kDeclinedHeader = "Banyanknot-Declined";
 
+/// \brief Header of every answer to a request that was started. A response
+/// without it comes from the HTTP layer, which started nothing.
+inline constexpr const char* kGatheredHeader = "Banyanknot-Gathered";
+
 /// \brief Writes adverts; the first is the sender's.
 std::string EncodeAdverts(const std::vector<state::HostAdvert>& adverts);
 
--- a/src/transport/host_http_link.cc
+++ b/src/transport/host_http_link.cc
@@ -46,10 +46,12 @@
     const std::string& request_id) {
   if (!state::IsOk(result)) return FailureOf(state::ErrorOf(result));
   protocol::HttpResponse response = state::TakeValue(std::move(result));
-  if (!protocol::HeaderValue(response.headers, protocol::kDeclinedHeader)
-           .empty()) {
+  // Declined, or refused by the other host's HTTP layer.
+  if (protocol::HeaderValue(response.headers, protocol::kGatheredHeader)
+          .empty()) {
     return coordination::DelegationFailure::kDeclined;
   }
+  protocol::RemoveHeader(response.headers, protocol::kGatheredHeader);
   coordination::RelayReply reply =
       codec.DecodeReply(std::move(response), request_id);
   if (reply.is_other_request) return coordination::DelegationFailure::kLost;
--- a/test/platform/edge/edge_delegation_test.cc
+++ b/test/platform/edge/edge_delegation_test.cc
@@ -131,6 +131,32 @@
   CHECK(fleet.WaitUntilDelegating());
 }
 
+TEST_CASE("A gather that the other edge's HTTP layer refuses runs here") {
+  // Its peer port is taken by a server that knows nothing of gathers.
+  DelegationWorld fleet;
+  ServerStandIn impostor("impostor", "");
+  EdgeProcess small("small-2", "a", fleet.world.Store().Address(),
+                    fleet.world.Ports());
+  small.JoinFleet({fleet.roomy.Peers()}, 0.1);
+  fleet.Start();
+  small.Start();
+  REQUIRE(WaitFor([&small] { return small.IsReady(); }));
+  standins::BlockingHttpClient client(state::Milliseconds(2'000));
+  const std::string advert =
+      R"({"adverts":[{"id":"a-impostor","domain":"a","endpoint":"127.0.0.1:)" +
+      std::to_string(impostor.Port()) +
+      R"(","milli_cores":9000,"takes_work":true,"age_ms":0}]})";
+  REQUIRE(state::IsOk(
+      client.Call(small.Peers(), "POST", "/fleet/adverts", advert)));
+  for (int index = 0; index < 20; ++index) {
+    RawCaller caller(small.Callers());
+    const std::optional<Response> answer =
+        caller.Call("/all/1", RequestId(100 + index));
+    CHECK(StatusOf(answer) == 200);
+    if (answer) CHECK((*answer)["Banyanknot-Gathered"].empty());
+  }
+}
+
 TEST_CASE("A caller that leaves cancels its gather through both edges") {
   DelegationWorld fleet;
   fleet.Start();
