--- a/tools/sanitize.sh
+++ b/tools/sanitize.sh
@@ -13,6 +13,9 @@
   cmake -S "$root" -B "$1" -G Ninja -DCMAKE_CXX_COMPILER_LAUNCHER=ccache -DCMAKE_CXX_COMPILER=clang++ "${@:2}" >"$1.log" 2>&1 ||
     { cat "$1.log"; exit 1; }
 }
+# Freed memory is reused soon, as without the sanitizer: a test bounds the memory
+# of a whole process.
+export ASAN_OPTIONS=quarantine_size_mb=4:thread_local_quarantine_size_kb=64
 export LSAN_OPTIONS=suppressions=$root/test/lsan_suppressions.txt:print_suppressions=0
 configure "$address" -DBANYANKNOT_FUZZ=ON \
   -DBANYANKNOT_SANITIZE=address,undefined,float-cast-overflow,fuzzer-no-link
