--- a/tools/sanitize.sh
+++ b/tools/sanitize.sh
@@ -10,8 +10,9 @@
 thread=${BUILD_DIR:-$root/build}-thread
 export CCACHE_BASEDIR=$root CCACHE_NOHASHDIR=1
 configure() {
-  cmake -S "$root" -B "$1" -G Ninja -DCMAKE_CXX_COMPILER_LAUNCHER=ccache -DCMAKE_CXX_COMPILER=clang++ "${@:2}" >"$1.log" 2>&1 ||
-    { cat "$1.log"; exit 1; }
+  mkdir -p "$1"
+  cmake -S "$root" -B "$1" -G Ninja -DCMAKE_CXX_COMPILER_LAUNCHER=ccache -DCMAKE_CXX_COMPILER=clang++ "${@:2}" >"$1/configure.log" 2>&1 ||
+    { cat "$1/configure.log"; exit 1; }
 }
 # Freed memory is reused soon, as without the sanitizer: a test bounds the memory
 # of a whole process.
