--- a/review/standins/standins.py
+++ b/review/standins/standins.py
@@ -562,6 +562,9 @@
     record = Record(folder)
 
     async def guarded():
+        task = asyncio.current_task()
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM,
+                                                      task.cancel)
         deployment = Deployment(record)
         try:
             return await asyncio.wait_for(case(deployment), limit_s)
@@ -573,7 +576,7 @@
         held = asyncio.run(guarded())
         code = EXIT_HELD if held else EXIT_BROKEN
         record.say("the rule held" if held else "the rule was broken")
-    except (CannotRun, OSError, asyncio.TimeoutError) as error:
+    except (Exception, asyncio.CancelledError) as error:
         record.say(f"the case could not run: {error!r}")
     record.close()
     sys.exit(code)
