--- a/review/standins/standins.py
+++ b/review/standins/standins.py
@@ -56,7 +56,10 @@
     def say(self, text):
         self.write("note", text=text)
         self.file.flush()
-        print(text, flush=True)
+        try:
+            print(text, flush=True)
+        except BrokenPipeError:
+            sys.stdout = open(os.devnull, "w", encoding="utf-8")
 
     def close(self):
         self.file.close()
