--- a/review/standins/standins.py
+++ b/review/standins/standins.py
@@ -142,12 +142,29 @@
         self.dropped_revision = 0
         self.revision = 100
         self.changed = asyncio.Event()
+        self.calls = []  # (time, machine, target)
         self.address = None
-        self.server = None
+        self.listeners = []
+        self.unanswered = set()  # names of machines that get no response
 
     async def start(self):
-        self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
-        self.address = "127.0.0.1:%d" % self.server.sockets[0].getsockname()[1]
+        self.address = await self.listen_for("anyone")
+
+    async def listen_for(self, machine):
+        """Returns an address of the store that only `machine` uses."""
+        server = await asyncio.start_server(
+            lambda reader, writer: self.serve(machine, reader, writer),
+            "127.0.0.1", 0)
+        self.listeners.append(server)
+        return "127.0.0.1:%d" % server.sockets[0].getsockname()[1]
+
+    def drop_history(self):
+        """Discards all history; watches that wait are answered with 410."""
+        self.events.clear()
+        self.dropped_revision = self.revision
+        self.record.write("store_drops_history", revision=self.revision)
+        self.changed.set()
+        self.changed = asyncio.Event()
 
     def _publish(self, event):
         now = time.monotonic()
@@ -174,12 +191,13 @@
         self._publish(dict(Key=key, Revision=self.revision, Deleted=True))
         self.record.write("store_delete", key=key, revision=self.revision)
 
-    async def serve(self, reader, writer):
+    async def serve(self, machine, reader, writer):
         try:
             while True:
                 request = await read_message(reader)
                 if request is None:
                     break
+                self.calls.append((time.monotonic(), machine, request.target))
                 path, _, query = request.target.partition("?")
                 fields = dict(urllib.parse.parse_qsl(query, True))
                 wait = re.search(r"WaitMs=(\d+)", query)
@@ -190,6 +208,8 @@
                         fields, int(wait.group(1)) / 1000 if wait else 0)
                 else:
                     answer = response(404)
+                if machine in self.unanswered:
+                    continue
                 writer.write(answer.encode())
                 await writer.drain()
         except (ConnectionError, asyncio.CancelledError):
@@ -406,11 +426,13 @@
 class Edge:
     """One edge program with rendered settings."""
 
-    def __init__(self, record, deployment, name, zone):
+    def __init__(self, record, deployment, name, zone, cpu_share=0.25):
         self.record = record
         self.deployment = deployment
         self.name = name
         self.zone = zone
+        self.cpu_share = cpu_share
+        self.source = None  # its address of the store
         self.ip = "127.%d.%d.%d" % (random.randint(1, 250),
                                     random.randint(1, 250),
                                     random.randint(2, 250))
@@ -426,9 +448,10 @@
         fields = {"Node": self.name, "Zone": self.zone, "Ip": self.ip,
                   "Listen": {"Front": self.front, "Ready": self.ready,
                              "Control": self.control},
-                  "platform": {"Address": self.deployment.store.address},
-                  "Seeds": [edge.control for edge in self.deployment.edges],
-                  "Limits": {"CpuShare": 0.25, "Cores": 1, "MemoryMb": 260},
+                  "platform": {"Address": self.source},
+                  "Seeds": [edge.control
+                            for edge in self.deployment.edges[:3]],
+                  "Limits": {"CpuShare": self.cpu_share, "Cores": 1, "MemoryMb": 260},
                   "Bounds": {"ContactMs": 4000, "GraceS": 6}}
 
         def fill(match):
@@ -442,6 +465,7 @@
         return re.sub(r"\{\{([\w.]+)(\|json)?\}\}", fill, text)
 
     async def start(self):
+        self.source = await self.deployment.store.listen_for(self.name)
         path = os.path.join(self.deployment.folder, self.name + ".json")
         with open(path, "w", encoding="utf-8") as file:
             file.write(self.settings())
@@ -508,10 +532,12 @@
         server.register()
         return server
 
-    async def start_edges(self, zones):
+    async def start_edges(self, zones, cpu_shares=None):
+        """Starts an edge in each of `zones` and waits until all are ready."""
         for number, zone in enumerate(zones, 1):
+            share = cpu_shares[number - 1] if cpu_shares else 0.25
             self.edges.append(Edge(self.record, self, f"front-{zone}-{number}",
-                                   zone))
+                                   zone, share))
         for edge in self.edges:
             await edge.start()
         until = time.monotonic() + 15
