--- a/review/3/case.py
+++ b/review/3/case.py
@@ -61,7 +61,9 @@
                               id=request.get(standins.WIRE["RequestId"]))
             writer.write(answer.encode()[:-5])
             return False
-        if not is_health and answer.status == 200:
+        is_in_trouble = (self.trouble_from <= time.monotonic() <
+                         self.trouble_until)
+        if is_in_trouble and not is_health and answer.status == 200:
             self.last_answers[writer] = answer
         writer.write(answer.encode())
         return True
--- a/review/standins/standins.py
+++ b/review/standins/standins.py
@@ -273,6 +273,7 @@
         self.runs = {}  # id of the request -> number of runs
         self.answered = 0
         self.sequence = 0
+        self.started_unix_ms = int(time.time() * 1000)
         self.address = None
         self.server = None
 
@@ -284,7 +285,8 @@
         self.sequence += 1
         entry = dict(Service=self.service, Address=self.address,
                      Zone=self.zone, Version="v1", Slots=self.slot_count,
-                     State=state, WarmupLeftMs=0, Sequence=self.sequence)
+                     State=state, WarmupLeftMs=0, Sequence=self.sequence,
+                     born=self.started_unix_ms)
         self.store.put(WIRE["ServerPrefix"] + self.id, entry)
 
     def _load(self):
