Discard responses that belong to another request

Cause: a second copy of a refusal that arrived when the next request on the connection had begun to run was decoded as the reply to that request, and its mark "not run" was believed. Only successes were compared with the id of the request.

Ruled out: hedges and retries, which never repeat a non-idempotent request; without the copies nothing ran twice.

Change: an HttpCall can't be made without saying how its responses are recognized. The connection discards any other, reads on for the call's own and is closed after it. The relay wants its request's id named, so that the refusal of a health check, which names none, proves nothing either; RelayReply has no flag for another request's reply any more. Bytes after the response to a liveness check close the connection: the next call would have read them as its answer. Discarded responses are logged and counted.

--- a/bench/measure/direct_fan_out.cc
+++ b/bench/measure/direct_fan_out.cc
@@ -46,7 +46,7 @@
   const std::uint64_t sequence = this->next_sequence++;
   for (Target& target : this->targets) {
     target.request.request = {kOrigin, sequence};
-    transport::HttpCall call;
+    transport::HttpCall call(transport::AcceptAnyResponse);
     call.request = {"POST", protocol::kSubRequestPath,
                     protocol::EncodeSubRequest(target.request, kAllowed)};
     call.deadline = start + kAllowed;
--- a/bench/measure/path_cost_measure.cc
+++ b/bench/measure/path_cost_measure.cc
@@ -27,7 +27,7 @@
   double RunOnce() {
     constexpr unsigned kHttpOk = 200;
     const state::TimePoint start = this->clock.Now();
-    transport::HttpCall call;
+    transport::HttpCall call(transport::AcceptAnyResponse);
     call.request = {"POST", protocol::kQueryPath,
                     R"({"service":"plans","deadline_ms":2000,"ask":{}})"};
     call.deadline = start + kTimeout;
--- a/ctl/http_host_client.cc
+++ b/ctl/http_host_client.cc
@@ -14,7 +14,7 @@
                                   state::Duration timeout) {
   transport::HttpConnectionPool pool(this->threads.Context(), this->clock, host,
                                      1);
-  transport::HttpCall call;
+  transport::HttpCall call(transport::AcceptAnyResponse);
   call.request = request;
   call.deadline = this->clock.Now() + timeout;
   call.send_before = call.deadline;
--- a/daemons/relay_application.cc
+++ b/daemons/relay_application.cc
@@ -114,7 +114,7 @@
         servers(clock, settings.domain),
         receive_budget(std::make_shared<transport::ReceiveBudget>(
             settings.memory_limit_bytes / kReceiveBudgetDivisor)),
-        relay_client(threads.Context(), clock, codec, receive_budget),
+        relay_client(threads.Context(), clock, codec, receive_budget, log),
         health_checker(clock, timers, relay_client, routes, log),
         extra_request_budget(MakeExtraRequestLimits(settings)),
         hedge_delay(kHedgeQuantile),
@@ -146,7 +146,8 @@
         host_metrics(log, readiness, routes, executor, threads,
                      *receive_budget),
         status_service(codec.ReadyPath(), readiness,
-                       {&journal, &dispatcher, &shared_source, &host_metrics}),
+                       {&journal, &dispatcher, &shared_source, &relay_client,
+                        &host_metrics}),
         ready_server(threads.Context(), status_service, {}),
         metrics_server(threads.Context(), status_service, {}),
         stop_target(executor, caller_server, peer_server),
--- a/include/banyanknot/coordination/event_code.h
+++ b/include/banyanknot/coordination/event_code.h
@@ -32,6 +32,7 @@
   kRequestAnswered = 4001,
   kRequestNotWhole = 4002,
   kDelegationFailed = 4003,
+  kResponseMisplaced = 4004,
   kRoutesInForce = 5001,
   kServerRegistered = 5002,
   kServerRemoved = 5003,
@@ -56,7 +57,7 @@
 };
 
 /// \brief Every event, ordered by number.
-inline constexpr std::array<EventDescription, 32> kEventDescriptions{{
+inline constexpr std::array<EventDescription, 33> kEventDescriptions{{
     {EventCode::kHostStarting, "host_starting", LogSeverity::kInfo,
      "The process has read its settings and is starting."},
     {EventCode::kHostListening, "host_listening", LogSeverity::kInfo,
@@ -95,6 +96,8 @@
      "A request got a partial answer, a failure or a refusal."},
     {EventCode::kDelegationFailed, "delegation_failed", LogSeverity::kWarning,
      "Another host gave no answer to a gather that it was passed."},
+    {EventCode::kResponseMisplaced, "response_misplaced", LogSeverity::kWarning,
+     "A server's response belonged to no open request and was discarded."},
     {EventCode::kRoutesInForce, "routes_in_force", LogSeverity::kInfo,
      "A version of the routes came into force on this host."},
     {EventCode::kServerRegistered, "server_registered", LogSeverity::kInfo,
--- a/include/banyanknot/coordination/routing/relay_client.h
+++ b/include/banyanknot/coordination/routing/relay_client.h
@@ -23,16 +23,16 @@
   std::size_t slots = 1;
 };
 
-/// \brief One server's reply to a request.
+/// \brief One server's reply to a request. A response to another request never
+/// becomes one: the client discards it.
 struct RelayReply {
   unsigned status = 0;
   std::vector<state::HeaderField> headers;  ///< to pass to the caller
   std::string body;
   std::string signature;  ///< proves the server's answer; may be empty
   bool is_proven_not_run = false;
-  bool is_other_server = false;   ///< sent by another server at the address
-  bool is_other_request = false;  ///< belongs to another request
-  bool is_encoded = false;        ///< the body has a content encoding
+  bool is_other_server = false;  ///< sent by another server at the address
+  bool is_encoded = false;       ///< the body has a content encoding
   std::optional<ReportedLoad> load;
   ServerNotice notice;
 
@@ -42,7 +42,7 @@
     constexpr unsigned kFirstOther = 300;
     return this->status >= kFirstSuccess && this->status < kFirstOther &&
            !this->signature.empty() && !this->is_encoded &&
-           !this->is_proven_not_run && !this->is_other_request;
+           !this->is_proven_not_run;
   }
 };
 
@@ -93,6 +93,8 @@
 /// \brief Sends requests to backend servers.
 ///
 /// Thread-safe. Handlers run on any thread, exactly once, never inside Send().
+/// They get only what the server sent in response to their own request or
+/// check.
 class RelayClient {
  public:
   virtual ~RelayClient() = default;
--- a/include/banyanknot/coordination/routing/relay_failure.h
+++ b/include/banyanknot/coordination/routing/relay_failure.h
@@ -13,16 +13,18 @@
   kNotSent,    ///< no byte written: the connection attempt failed
   kLimit,      ///< no byte written: connection limit reached
   kLost,       ///< the connection broke after the first byte
+  kMisplaced,  ///< only responses to other requests came
   kTimeout,    ///< no reply in time
   kWithdrawn,  ///< no byte written: the server wants no more requests
 };
 
 /// \brief Names of RelayFailure in messages and logs.
-inline constexpr std::array<state::EnumName<RelayFailure>, 5>
+inline constexpr std::array<state::EnumName<RelayFailure>, 6>
     kRelayFailureNames{{
         {RelayFailure::kNotSent, "not_sent"},
         {RelayFailure::kLimit, "limit"},
         {RelayFailure::kLost, "lost"},
+        {RelayFailure::kMisplaced, "misplaced"},
         {RelayFailure::kTimeout, "timeout"},
         {RelayFailure::kWithdrawn, "withdrawn"},
     }};
--- a/include/banyanknot/protocol/relay_codec.h
+++ b/include/banyanknot/protocol/relay_codec.h
@@ -34,13 +34,15 @@
   /// DecodeRequest().
   virtual HttpRequest EncodeDelegated(
       const state::RelayRequest& request) const = 0;
-  /// \brief Returns true if a response says that it belongs to another request
-  /// than `request_id`.
-  virtual bool IsOtherRequest(const HttpResponse& response,
-                              const std::string& request_id) const = 0;
-  /// \brief Decodes a backend server's reply to request `request_id`.
-  virtual coordination::RelayReply DecodeReply(
-      HttpResponse response, const std::string& request_id) const = 0;
+  /// \brief Returns true if a response names `request_id` as its request.
+  ///
+  /// Servers may send responses to earlier requests and health checks late, so
+  /// one that names no request proves nothing.
+  virtual bool IsReplyTo(const HttpResponse& response,
+                         const std::string& request_id) const = 0;
+  /// \brief Decodes a backend server's reply.
+  /// \pre IsReplyTo() holds for the request that it is taken for
+  virtual coordination::RelayReply DecodeReply(HttpResponse response) const = 0;
 
   /// \brief Encodes a health check of the server at `endpoint`.
   virtual HttpRequest EncodeHealthCheck(const state::Endpoint& endpoint,
--- a/include/banyanknot/transport/http_connection_pool.h
+++ b/include/banyanknot/transport/http_connection_pool.h
@@ -4,6 +4,7 @@
 #include <cstddef>
 #include <functional>
 #include <memory>
+#include <utility>
 
 #include "banyanknot/coordination/clock.h"
 #include "banyanknot/protocol/http_message.h"
@@ -18,18 +19,28 @@
 
 namespace banyanknot::transport {
 
+/// \brief Tells whether a response belongs to a call.
+using ResponseFilter = std::function<bool(const protocol::HttpResponse&)>;
+
+/// \brief Accepts every response: for servers whose responses don't identify
+/// their request and that are trusted to send one for each.
+bool AcceptAnyResponse(const protocol::HttpResponse& response);
+
 /// \brief One request with its deadlines.
 struct HttpCall {
+  explicit HttpCall(ResponseFilter is_answer)
+      : is_answer(std::move(is_answer)) {}
+
   protocol::HttpRequest request;
   state::TimePoint send_before;  ///< not written after this time
   state::TimePoint deadline;     ///< the handler is called by then
   bool is_idempotent =
       true;  ///< false: sent only on a connection with a recent reply
   std::size_t max_response_bytes = 64u << 20;  ///< of the body
-  /// Tells whether a response belongs to this call. One that does not is
-  /// delivered all the same, and its connection is closed: what comes next on
-  /// it would belong to this call. May be empty.
-  std::function<bool(const protocol::HttpResponse&)> is_answer;
+  /// A response that it rejects is discarded and never reaches the handler,
+  /// which gets the next one on the connection that it accepts. The connection
+  /// is then closed.
+  ResponseFilter is_answer;
   /// Asked immediately before the first byte is written; on false the call
   /// fails with kWithdrawn. May be empty.
   std::function<bool()> may_write;
@@ -58,7 +69,7 @@
 /// one call.
 ///
 /// Errors: with kResolve, kConnect, kLimit, kExpired and kWithdrawn no byte was
-/// written; with kLost, kTooLarge and kTimeout some may have been.
+/// written; with kLost, kMisplaced, kTooLarge and kTimeout some may have been.
 class HttpConnectionPool {
  public:
   /// \pre options.limits.most > 0
--- a/include/banyanknot/transport/http_pool_options.h
+++ b/include/banyanknot/transport/http_pool_options.h
@@ -47,6 +47,9 @@
   /// Size of each connection's kernel receive buffer; 0 for the system's
   /// default. Bounds what a server can send unasked.
   int receive_buffer_bytes = 0;
+  /// Called for each response that no call accepts; on any thread, with no lock
+  /// held. May be empty.
+  std::function<void()> on_misplaced_response;
   /// Called when the server closes an idle connection, with the time since its
   /// last reply; on any thread, with no lock held. May be empty. Requires
   /// watches_idle.
--- a/include/banyanknot/transport/transport_error.h
+++ b/include/banyanknot/transport/transport_error.h
@@ -15,6 +15,7 @@
   kConnect,    ///< the connection could not be established
   kLimit,      ///< the connection limit is reached
   kLost,       ///< the connection failed after the first byte
+  kMisplaced,  ///< only responses to other calls came
   kTimeout,    ///< no reply in time
   kExpired,    ///< cancelled or too late before the first byte
   kTooLarge,   ///< the message exceeds its size limit
@@ -23,13 +24,14 @@
 };
 
 /// \brief Names of TransportError in messages and logs.
-inline constexpr std::array<state::EnumName<TransportError>, 10>
+inline constexpr std::array<state::EnumName<TransportError>, 11>
     kTransportErrorNames{{
         {TransportError::kResolve, "resolve"},
         {TransportError::kListen, "listen"},
         {TransportError::kConnect, "connect"},
         {TransportError::kLimit, "limit"},
         {TransportError::kLost, "lost"},
+        {TransportError::kMisplaced, "misplaced"},
         {TransportError::kTimeout, "timeout"},
         {TransportError::kExpired, "expired"},
         {TransportError::kTooLarge, "too_large"},
--- a/src/coordination/routing/relay_run.cc
+++ b/src/coordination/routing/relay_run.cc
@@ -216,10 +216,7 @@
                              const RelayResult& result, state::TimePoint now,
                              RelayEffects& effects) {
   this->CountFailure(part, outcome);
-  if (outcome == AttemptOutcome::kErred &&
-      !state::ValueOf(result).is_other_request) {
-    part.failure = state::ValueOf(result);
-  }
+  if (outcome == AttemptOutcome::kErred) part.failure = state::ValueOf(result);
   if (this->is_answered || part.has_reply || part.open > 0) return;
   const bool is_final = part.failure &&
                         part.failure->status < kFirstServerError &&
--- a/src/transport/backend_health_http_client.cc
+++ b/src/transport/backend_health_http_client.cc
@@ -25,7 +25,7 @@
 void BackendHealthHttpClient::Read(const state::ServerId& server,
                                    const state::Endpoint& endpoint,
                                    coordination::HealthHandler handler) {
-  HttpCall call;
+  HttpCall call(AcceptAnyResponse);
   call.request = {"GET", protocol::kHealthPath, ""};
   call.deadline = this->clock.Now() + kHealthTimeout;
   call.send_before = call.deadline;
--- a/src/transport/backend_http_client.cc
+++ b/src/transport/backend_http_client.cc
@@ -28,23 +28,22 @@
 void BackendHttpClient::Send(const state::SubRequest& request,
                              coordination::BackendHandler handler) {
   const state::Duration remaining = request.deadline - this->clock.Now();
-  HttpCall call;
-  call.request = {"POST", protocol::kSubRequestPath,
-                  protocol::EncodeSubRequest(request, remaining)};
-  call.send_before = std::min(request.send_before, request.deadline);
-  call.deadline = request.deadline;
-  call.is_idempotent = request.is_idempotent;
-  call.max_response_bytes = protocol::kMaxSubReplyBytes;
   // Decoded once: first to see whether it belongs to this call.
   const std::shared_ptr<DecodedReply> decoded =
       std::make_shared<DecodedReply>();
-  call.is_answer = [decoded, id = request.request, attempt = request.attempt](
-                       const protocol::HttpResponse& response) {
+  HttpCall call([decoded, id = request.request, attempt = request.attempt](
+                    const protocol::HttpResponse& response) {
     *decoded = DecodeReply(response);
     if (!state::IsOk(**decoded)) return true;
     const state::SubReply& reply = state::ValueOf(**decoded);
     return reply.request == id && reply.attempt == attempt;
-  };
+  });
+  call.request = {"POST", protocol::kSubRequestPath,
+                  protocol::EncodeSubRequest(request, remaining)};
+  call.send_before = std::min(request.send_before, request.deadline);
+  call.deadline = request.deadline;
+  call.is_idempotent = request.is_idempotent;
+  call.max_response_bytes = protocol::kMaxSubReplyBytes;
   this->pools.Of(request.server, request.endpoint)
       .requests->Call(std::move(call), [decoded, handler = std::move(handler)](
                                            const HttpCallResult& result) {
@@ -57,7 +56,7 @@
 }
 
 void BackendHttpClient::Cancel(const state::SubRequest& request) {
-  HttpCall call;
+  HttpCall call(AcceptAnyResponse);
   call.request = {"POST", protocol::kCancelPath,
                   protocol::EncodeCancel(request)};
   call.deadline = this->clock.Now() + kCancelTimeout;
--- a/src/transport/client_connection.cc
+++ b/src/transport/client_connection.cc
@@ -36,6 +36,8 @@
 constexpr std::size_t kMaxEncodingFactor = 2;
 /// Interim (1xx) heads before a response.
 constexpr unsigned kMaxInterimHeads = 8;
+/// Responses to other calls that are discarded before one is given up.
+constexpr unsigned kMaxMisplacedResponses = 8;
 /// Longer announced idle timeouts count as this one.
 constexpr std::int64_t kMaxKeepAliveSeconds = 3'600;
 constexpr int kUserTimeoutMilliseconds = 2'000;
@@ -266,7 +268,8 @@
 }
 
 void ClientConnection::OnChecked(const beast::error_code& error) {
-  if (error || !this->parser->keep_alive()) {
+  // Bytes after the response would be read as that to the next call.
+  if (error || !this->parser->keep_alive() || this->buffer.size() > 0) {
     this->CloseNow();
     if (this->current != nullptr) this->Reassign();
     return;
@@ -374,6 +377,11 @@
 }
 
 void ClientConnection::Read() {
+  this->misplaced_responses = 0;
+  this->ReadAnswer();
+}
+
+void ClientConnection::ReadAnswer() {
   this->ReadResponse(
       [self = this->shared_from_this()](const beast::error_code& error) {
         self->OnRead(error);
@@ -449,18 +457,24 @@
   this->last_reply_at = now.time_since_epoch().count();
   this->pool->RecordReply(now);
   const bool keep_alive = this->parser->keep_alive();
-  this->advertised_idle_timeout = ParseKeepAliveTimeout(this->parser->get());
+  const std::optional<state::Duration> idle_timeout =
+      ParseKeepAliveTimeout(this->parser->get());
   protocol::HttpResponse response = FromBeast(this->parser->release());
   this->reservation.Clear();
+  if (!this->current->call.is_answer(response)) {
+    this->OnMisplacedResponse(keep_alive);
+    return;
+  }
+  this->advertised_idle_timeout = idle_timeout;
   const std::shared_ptr<PendingCall> finished = std::move(this->current);
   this->is_written = false;
   if (this->is_silent && this->pool->TryReacquireSlot()) {
     this->is_silent = false;
   }
-  const bool is_answer =
-      !finished->call.is_answer || finished->call.is_answer(response);
-  // Extra bytes after a complete reply belong to no call.
-  if (!keep_alive || this->is_silent || this->buffer.size() > 0 || !is_answer) {
+  // Extra bytes after a complete reply belong to no call, and a server that has
+  // sent an extra response may send more.
+  if (!keep_alive || this->is_silent || this->buffer.size() > 0 ||
+      this->misplaced_responses > 0) {
     this->CloseNow();
   } else {
     this->ReturnToPool();
@@ -468,6 +482,18 @@
   finished->handler(std::move(response));
 }
 
+void ClientConnection::OnMisplacedResponse(bool keep_alive) {
+  ++this->misplaced_responses;
+  if (this->pool->options.on_misplaced_response) {
+    this->pool->options.on_misplaced_response();
+  }
+  if (!keep_alive || this->misplaced_responses > kMaxMisplacedResponses) {
+    this->FailCall(TransportError::kMisplaced);
+  } else {
+    this->ReadAnswer();
+  }
+}
+
 void ClientConnection::ReturnToPool() {
   this->stream.expires_never();
   const std::shared_ptr<PendingCall> next =
--- a/src/transport/client_connection.h
+++ b/src/transport/client_connection.h
@@ -53,6 +53,8 @@
   void OnChecked(const boost::beast::error_code& error);
   void Write();
   void Read();
+  void ReadAnswer();
+  void OnMisplacedResponse(bool keep_alive);
   void OnRead(const boost::beast::error_code& error);
   void ReturnToPool();
   state::Duration IdleLifetime() const;
@@ -88,8 +90,9 @@
   std::optional<
       boost::beast::http::response_parser<boost::beast::http::string_body>>
       parser;
-  unsigned interim_heads = 0;      // 1xx, of the current response
-  std::size_t received_bytes = 0;  // of the current response, on the wire
+  unsigned interim_heads = 0;        // 1xx, of the current response
+  unsigned misplaced_responses = 0;  // discarded for the current call
+  std::size_t received_bytes = 0;    // of the current response, on the wire
   ReceiveReservation reservation;
   std::shared_ptr<PendingCall> current;
   std::atomic<state::Duration::rep> last_reply_at{0};
--- a/src/transport/host_http_link.cc
+++ b/src/transport/host_http_link.cc
@@ -42,8 +42,7 @@
 }
 
 coordination::DelegationResult ToDelegationResult(
-    HttpCallResult result, const protocol::RelayCodec& codec,
-    const std::string& request_id) {
+    HttpCallResult result, const protocol::RelayCodec& codec) {
   if (!state::IsOk(result)) return FailureOf(state::ErrorOf(result));
   protocol::HttpResponse response = state::TakeValue(std::move(result));
   // Declined, or refused by the other host's HTTP layer.
@@ -52,10 +51,7 @@
     return coordination::DelegationFailure::kDeclined;
   }
   protocol::RemoveHeader(response.headers, protocol::kGatheredHeader);
-  coordination::RelayReply reply =
-      codec.DecodeReply(std::move(response), request_id);
-  if (reply.is_other_request) return coordination::DelegationFailure::kLost;
-  return reply;
+  return codec.DecodeReply(std::move(response));
 }
 
 }  // namespace
@@ -93,7 +89,13 @@
     const state::Endpoint& host, coordination::DelegatedRequest request,
     coordination::DelegationHandler handler) {
   const state::TimePoint now = this->clock.Now();
-  HttpCall call;
+  // A host that declines doesn't name the request.
+  HttpCall call([this, id = request.request->id](
+                    const protocol::HttpResponse& response) {
+    return this->codec.IsReplyTo(response, id) ||
+           protocol::HeaderValue(response.headers, protocol::kGatheredHeader)
+               .empty();
+  });
   call.request = this->codec.EncodeDelegated(*request.request);
   protocol::AddDelegationHeader(
       {request.routes_version, now - request.request->received_at,
@@ -102,23 +104,19 @@
   call.send_before = now + kConnectTimeout;
   call.deadline = request.deadline;
   call.max_response_bytes = kMaxAnswerBytes;
-  call.is_answer =
-      [this, id = request.request->id](const protocol::HttpResponse& response) {
-        return !this->codec.IsOtherRequest(response, id);
-      };
   const PoolPtr pool = this->PoolOf(host);
-  HttpCallHandle handle = pool->Call(
-      std::move(call), [this, id = request.request->id,
-                        handler = std::move(handler)](HttpCallResult result) {
-        handler(ToDelegationResult(std::move(result), this->codec, id));
-      });
+  HttpCallHandle handle =
+      pool->Call(std::move(call),
+                 [this, handler = std::move(handler)](HttpCallResult result) {
+                   handler(ToDelegationResult(std::move(result), this->codec));
+                 });
   return std::make_shared<internal::PooledCall>(pool, std::move(handle));
 }
 
 void HostHttpLink::ExchangeAdverts(const state::Endpoint& host,
                                    const state::HostAdvert& own,
                                    coordination::AdvertsHandler handler) {
-  HttpCall call;
+  HttpCall call(AcceptAnyResponse);
   call.request = {"POST", protocol::kAdvertsPath,
                   protocol::EncodeAdverts({own})};
   call.deadline = this->clock.Now() + kExchangeTimeout;
@@ -143,7 +141,7 @@
                               const std::string& target,
                               state::Duration timeout,
                               coordination::ChangesHandler handler) {
-  HttpCall call;
+  HttpCall call(AcceptAnyResponse);
   call.request = {"GET", target, ""};
   call.deadline = this->clock.Now() + timeout;
   call.send_before = call.deadline;
--- a/src/transport/http_connection_pool.cc
+++ b/src/transport/http_connection_pool.cc
@@ -10,6 +10,10 @@
 
 namespace asio = boost::asio;
 
+bool AcceptAnyResponse(const protocol::HttpResponse& /*response*/) {
+  return true;
+}
+
 HttpConnectionPool::HttpConnectionPool(asio::io_context& context,
                                        const coordination::Clock& clock,
                                        state::Endpoint endpoint,
--- a/src/transport/platform_http_client.cc
+++ b/src/transport/platform_http_client.cc
@@ -57,7 +57,7 @@
 
 void PlatformHttpClient::Get(const std::string& target, state::Duration timeout,
                              HttpCallHandler handler) {
-  HttpCall call;
+  HttpCall call(AcceptAnyResponse);
   call.request = {"GET", target, ""};
   call.deadline = this->clock.Now() + timeout;
   call.send_before = call.deadline;
--- a/src/transport/relay_http_client.cc
+++ b/src/transport/relay_http_client.cc
@@ -39,6 +39,8 @@
       return coordination::RelayFailure::kLimit;
     case TransportError::kWithdrawn:
       return coordination::RelayFailure::kWithdrawn;
+    case TransportError::kMisplaced:
+      return coordination::RelayFailure::kMisplaced;
     case TransportError::kTimeout:
       return coordination::RelayFailure::kTimeout;
     default:
@@ -51,11 +53,13 @@
 RelayHttpClient::RelayHttpClient(boost::asio::io_context& context,
                                  const coordination::Clock& clock,
                                  const protocol::RelayCodec& codec,
-                                 std::shared_ptr<ReceiveBudget> receive_budget)
+                                 std::shared_ptr<ReceiveBudget> receive_budget,
+                                 coordination::EventLog& log)
     : context(context),
       clock(clock),
       codec(codec),
-      receive_budget(std::move(receive_budget)) {}
+      receive_budget(std::move(receive_budget)),
+      log(log) {}
 
 RelayHttpClient::PoolPtr RelayHttpClient::PoolOf(
     const state::InstanceId& server, const state::Endpoint& endpoint) {
@@ -69,6 +73,11 @@
       options.watches_idle = false;
       options.receive_budget = this->receive_budget;
       options.receive_buffer_bytes = kReceiveBufferBytes;
+      options.on_misplaced_response = [this, server] {
+        ++this->misplaced_responses;
+        this->log.Write(coordination::EventCode::kResponseMisplaced,
+                        {{"server", server.Text()}});
+      };
       pool = std::make_shared<HttpConnectionPool>(this->context, this->clock,
                                                   endpoint, std::move(options));
     }
@@ -79,29 +88,28 @@
 std::shared_ptr<coordination::RelayCall> RelayHttpClient::Send(
     coordination::RelaySend send, coordination::RelayHandler handler) {
   const state::TimePoint now = this->clock.Now();
-  HttpCall call;
+  HttpCall call(
+      [this, id = send.request->id](const protocol::HttpResponse& response) {
+        return this->codec.IsReplyTo(response, id);
+      });
   call.request = this->codec.EncodeSend(send, send.deadline - now);
   call.send_before = std::min(send.deadline, now + kConnectTimeout);
   call.deadline = send.deadline + kDeadlineSlack;
   call.is_idempotent = send.is_idempotent;
   call.max_response_bytes = send.max_reply_bytes;
-  call.is_answer =
-      [this, id = send.request->id](const protocol::HttpResponse& response) {
-        return !this->codec.IsOtherRequest(response, id);
-      };
   call.may_write = [this, notices = send.notices] {
     return notices->AcceptsRequests(this->clock.Now());
   };
   const PoolPtr pool = this->PoolOf(send.server, send.endpoint);
   HttpCallHandle handle = pool->Call(
-      std::move(call), [this, id = send.request->id, notices = send.notices,
+      std::move(call), [this, notices = send.notices,
                         handler = std::move(handler)](HttpCallResult result) {
         if (!state::IsOk(result)) {
           handler(FailureOf(state::ErrorOf(result)));
           return;
         }
         coordination::RelayReply reply =
-            this->codec.DecodeReply(state::TakeValue(std::move(result)), id);
+            this->codec.DecodeReply(state::TakeValue(std::move(result)));
         notices->OnNotice(reply.notice, this->clock.Now());
         handler(std::move(reply));
       });
@@ -110,7 +118,7 @@
 
 void RelayHttpClient::CheckHealth(coordination::HealthCheck check,
                                   coordination::ServerHealthHandler handler) {
-  HttpCall call;
+  HttpCall call(AcceptAnyResponse);
   call.request = this->codec.EncodeHealthCheck(check.endpoint, check.path);
   call.deadline = this->clock.Now() + check.timeout;
   call.send_before = call.deadline;
@@ -133,6 +141,15 @@
              });
 }
 
+void RelayHttpClient::CollectMetrics(
+    std::vector<coordination::MetricSample>& samples) const {
+  samples.push_back({"banyanknot_relay_misplaced_responses_total",
+                     "Responses of servers that belonged to no open request.",
+                     coordination::MetricKind::kCounter,
+                     {},
+                     static_cast<double>(this->misplaced_responses)});
+}
+
 void RelayHttpClient::CloseConnections(const state::InstanceId& server,
                                        const state::Endpoint& endpoint) {
   const PoolPtr pool =
--- a/standins/blocking_http_client.cc
+++ b/standins/blocking_http_client.cc
@@ -14,7 +14,7 @@
   const std::shared_ptr<std::promise<transport::HttpCallResult>> promise =
       std::make_shared<std::promise<transport::HttpCallResult>>();
   std::future<transport::HttpCallResult> result = promise->get_future();
-  transport::HttpCall call;
+  transport::HttpCall call(transport::AcceptAnyResponse);
   call.request = {method, target, body};
   call.deadline = this->clock.Now() + this->timeout;
   call.send_before = call.deadline;
--- a/standins/host_balancer.cc
+++ b/standins/host_balancer.cc
@@ -50,7 +50,7 @@
 
 void HostBalancer::Poll(Host& host) {
   if (this->is_stopped) return;
-  transport::HttpCall call;
+  transport::HttpCall call(transport::AcceptAnyResponse);
   call.request = {"GET", "/ready", ""};
   call.deadline = this->clock.Now() + kReadyTimeout;
   call.send_before = call.deadline;
--- a/standins/load_generator.cc
+++ b/standins/load_generator.cc
@@ -135,7 +135,7 @@
 transport::HttpCall LoadGenerator::MakeCall(const std::string& target,
                                             const json& body,
                                             state::Duration allowed) const {
-  transport::HttpCall call;
+  transport::HttpCall call(transport::AcceptAnyResponse);
   call.request = {"POST", target, body.dump()};
   call.deadline = this->clock.Now() + allowed;
   call.send_before = call.deadline;
--- a/test/platform/edge/edge_world.h
+++ b/test/platform/edge/edge_world.h
@@ -79,6 +79,8 @@
   }
   /// \brief Registers a server, at `port` instead of its own unless 0.
   void Register(const ServerStandIn& server, std::uint16_t port = 0);
+  /// \brief Registers the server `id` at an address.
+  void Register(const std::string& id, std::uint16_t port);
   void PutRoutes(std::uint64_t version);
 
   static constexpr const char* kHost = "desk.example";
