Count a source whose history is gone as one that answers

Cause: a host behind a stale watcher asks the source with its own revision. The host took the stale one, whose revision was gone as well, and never read the source.

Ruled out: hosts cut off themselves (the store's record shows their watches answered), and a watcher that passes an old view on as fresh (its age is told and logged).

Change: only a source that doesn't answer counts as failed. After "history gone" the read goes to a fresh watcher, or to the source.

--- a/include/banyanknot/coordination/delegation/shared_source.h
+++ b/include/banyanknot/coordination/delegation/shared_source.h
@@ -54,7 +54,8 @@
   RoutingBatch ToBatch(const PassedChanges& passed);
   void RecordRevision(std::uint64_t revision);
   bool IsUsableSnapshot(const PassedChanges& passed) const;
-  void OnSourceResult(bool is_ok, state::TimePoint now);
+  void OnSourceResult(const state::Result<RoutingBatch, SourceFailure>& result,
+                      state::TimePoint now);
   bool HasSourceJustFailed(state::TimePoint now) const;
 
   const Clock& clock;
--- a/src/coordination/delegation/shared_source.cc
+++ b/src/coordination/delegation/shared_source.cc
@@ -13,6 +13,13 @@
 /// those without news of it, so that not every host calls it again and again.
 constexpr state::Duration kSourcePause = state::Milliseconds(1'200);
 
+/// Tells whether the source failed to answer. One whose history is gone has
+/// answered, and a read of it gets the newest state.
+bool HasFailed(const state::Result<RoutingBatch, SourceFailure>& result) {
+  return !state::IsOk(result) &&
+         state::ErrorOf(result) != SourceFailure::kHistoryGone;
+}
+
 }  // namespace
 
 SharedSource::SharedSource(const Clock& clock, RoutingSource& source,
@@ -72,15 +79,17 @@
   return this->source_failed_at && now - *this->source_failed_at < kSourcePause;
 }
 
-void SharedSource::OnSourceResult(bool is_ok, state::TimePoint now) {
+void SharedSource::OnSourceResult(
+    const state::Result<RoutingBatch, SourceFailure>& result,
+    state::TimePoint now) {
   bool has_returned = false;
   {
     const std::lock_guard<std::mutex> lock(this->mutex);
-    has_returned = is_ok && this->source_failed_at;
-    if (is_ok) {
-      this->source_failed_at.reset();
-    } else {
+    if (HasFailed(result)) {
       this->source_failed_at = now;
+    } else {
+      has_returned = this->source_failed_at.has_value();
+      this->source_failed_at.reset();
     }
   }
   if (has_returned) this->history.RecordReturn(now);
@@ -119,7 +128,7 @@
   this->source.ReadAll([this, handler = std::move(handler)](
                            state::Result<RoutingBatch, SourceFailure> result) {
     const state::TimePoint now = this->clock.Now();
-    this->OnSourceResult(state::IsOk(result), now);
+    this->OnSourceResult(result, now);
     if (state::IsOk(result)) {
       this->RecordRevision(state::ValueOf(result).revision);
       this->history.RecordSnapshot(state::ValueOf(result), now);
@@ -159,7 +168,7 @@
                      [this, handler = std::move(handler)](
                          state::Result<RoutingBatch, SourceFailure> result) {
                        const state::TimePoint now = this->clock.Now();
-                       this->OnSourceResult(state::IsOk(result), now);
+                       this->OnSourceResult(result, now);
                        if (state::IsOk(result)) {
                          this->RecordRevision(state::ValueOf(result).revision);
                          this->history.RecordChanges(state::ValueOf(result),
--- a/test/coordination/delegation/shared_source_test.cc
+++ b/test/coordination/delegation/shared_source_test.cc
@@ -35,10 +35,12 @@
     ++this->watches;
     if (!this->is_up || this->revision > after) {
       this->Reply(Milliseconds(4), [this, after, handler = std::move(handler)] {
-        if (this->is_up) {
-          handler(this->BatchAfter(after));
-        } else {
+        if (!this->is_up) {
           handler(SourceFailure::kRefused);
+        } else if (after < this->oldest_revision) {
+          handler(SourceFailure::kHistoryGone);
+        } else {
+          handler(this->BatchAfter(after));
         }
       });
       return;
@@ -64,6 +66,7 @@
   }
 
   std::uint64_t revision = 1;
+  std::uint64_t oldest_revision = 0;  // changes after it are known
   bool is_up = true;
   int reads = 0;
   int watches = 0;
@@ -212,6 +215,11 @@
     }
     return revision;
   }
+  void DropHistory() {
+    for (const auto& [id, host] : this->hosts) {
+      host->source.oldest_revision = host->source.revision;
+    }
+  }
   void SetSourceUp(bool is_up) {
     for (const auto& [id, host] : this->hosts) host->source.is_up = is_up;
   }
@@ -304,6 +312,26 @@
   }
 }
 
+// Guards against a host that reaches the source following a watcher that
+// doesn't: the source's answer that its history is gone counted as an outage.
+TEST_CASE("A dropped history leads to a read of the source, not an old view") {
+  for (const int cut : {1, 2}) {
+    SharingFleet fleet(kHosts);
+    fleet.Start();
+    fleet.Advance(Milliseconds(8'000));
+    for (int index = 0; index < cut; ++index) {
+      fleet.At("h" + std::to_string(index)).source.is_up = false;
+    }
+    fleet.Advance(Milliseconds(300));
+    fleet.Write();
+    fleet.DropHistory();
+    fleet.Advance(Milliseconds(500));
+    const std::uint64_t revision = fleet.Write();
+    fleet.Advance(kOrderBound);
+    CHECK(fleet.CountKnowing(revision) >= kHosts - cut);
+  }
+}
+
 TEST_CASE("A host of which the source refuses calls hears from a watcher") {
   SharingFleet fleet(kHosts);
   fleet.At("h7").source.is_up = false;
