Ask the watcher with the newest view while the source fails

Hosts that the source turned away kept an old configuration where the first of the two watchers that they know was stale, though the other one was served and passed each change on.

Cause: after a failure of the source the first watcher was taken whether it had been left out as stale or not, and its old view was accepted. It was never left out again, so the other one was not asked.

Ruled out: the age that watchers tell, and the source itself: with both watchers served every host hears of a change within 2 s.

Change: choosing a watcher is one path. One that is not left out comes first; an old view is used only while the source fails and all are left out.

--- a/include/banyanknot/coordination/delegation/shared_source.h
+++ b/include/banyanknot/coordination/delegation/shared_source.h
@@ -22,8 +22,9 @@
 /// where there is one, and directly otherwise.
 ///
 /// A watcher that doesn't reply, or that has itself not heard from the source
-/// for kMaxAge, is left for the other one and then for the source. What this
-/// host hears from the source goes into the ChangeHistory for its own
+/// for kMaxAge, is left out for a while. An old view is used only where nothing
+/// newer can be had: while the source fails and every watcher is left out. What
+/// this host hears from the source goes into the ChangeHistory for its own
 /// followers. Thread-safe.
 class SharedSource : public RoutingSource, public MetricSource {
  public:
@@ -45,7 +46,14 @@
   void CollectMetrics(std::vector<MetricSample>& samples) const override;
 
  private:
-  std::optional<state::HostAdvert> PickWatcher(state::TimePoint now);
+  /// A watcher to ask in place of the source.
+  struct Choice {
+    state::HostAdvert watcher;
+    bool accepts_stale = false;
+  };
+
+  /// Returns nothing if the source is to be asked.
+  std::optional<Choice> ChooseWatcher(state::TimePoint now) const;
   void LeaveOut(const state::HostId& host,
                 const std::optional<PassedChanges>& passed);
   void ReadSource(RoutingBatchHandler handler);
@@ -53,7 +61,7 @@
                    RoutingBatchHandler handler);
   RoutingBatch ToBatch(const PassedChanges& passed);
   void RecordRevision(std::uint64_t revision);
-  bool IsUsableSnapshot(const PassedChanges& passed) const;
+  bool IsUsableSnapshot(const PassedChanges& passed, bool accepts_stale) const;
   void OnSourceResult(const state::Result<RoutingBatch, SourceFailure>& result,
                       state::TimePoint now);
   bool HasSourceJustFailed(state::TimePoint now) const;
--- a/src/coordination/delegation/shared_source.cc
+++ b/src/coordination/delegation/shared_source.cc
@@ -34,19 +34,19 @@
       history(history),
       log(log) {}
 
-std::optional<state::HostAdvert> SharedSource::PickWatcher(
-    state::TimePoint now) {
+std::optional<SharedSource::Choice> SharedSource::ChooseWatcher(
+    state::TimePoint now) const {
   const std::vector<state::HostAdvert> watchers = this->roster.Watchers(now);
-  const bool takes_any = this->HasSourceJustFailed(now);
+  const bool accepts_stale = this->HasSourceJustFailed(now);
   const std::lock_guard<std::mutex> lock(this->mutex);
   for (const state::HostAdvert& watcher : watchers) {
     const auto found = this->left_out_until.find(watcher.id);
-    if (takes_any || found == this->left_out_until.end() ||
-        found->second <= now) {
-      return watcher;
+    if (found == this->left_out_until.end() || found->second <= now) {
+      return Choice{watcher, false};
     }
   }
-  return std::nullopt;
+  if (watchers.empty() || !accepts_stale) return std::nullopt;
+  return Choice{watchers.front(), true};
 }
 
 void SharedSource::LeaveOut(const state::HostId& host,
@@ -114,10 +114,10 @@
   this->newest_revision = std::max(this->newest_revision, revision);
 }
 
-bool SharedSource::IsUsableSnapshot(const PassedChanges& passed) const {
+bool SharedSource::IsUsableSnapshot(const PassedChanges& passed,
+                                    bool accepts_stale) const {
   if (!passed.is_snapshot) return false;
-  const state::TimePoint now = this->clock.Now();
-  if (passed.age > kMaxAge && !this->HasSourceJustFailed(now)) return false;
+  if (passed.age > kMaxAge && !accepts_stale) return false;
   // An older one would undo what this host knows.
   const std::lock_guard<std::mutex> lock(this->mutex);
   return passed.revision >= this->newest_revision;
@@ -138,22 +138,26 @@
 }
 
 void SharedSource::ReadAll(RoutingBatchHandler handler) {
-  const std::optional<state::HostAdvert> watcher =
-      this->PickWatcher(this->clock.Now());
-  if (!watcher) {
+  const std::optional<Choice> choice = this->ChooseWatcher(this->clock.Now());
+  if (!choice) {
     this->ReadSource(std::move(handler));
     return;
   }
   this->link.ReadSnapshot(
-      watcher->endpoint,
-      [this, id = watcher->id, handler = std::move(handler)](
+      choice->watcher.endpoint,
+      [this, choice = *choice, handler = std::move(handler)](
           const std::optional<PassedChanges>& passed) mutable {
-        if (passed && this->IsUsableSnapshot(*passed)) {
+        if (passed && this->IsUsableSnapshot(*passed, choice.accepts_stale)) {
           handler(this->ToBatch(*passed));
           return;
         }
-        this->LeaveOut(id, passed);
-        this->ReadSource(std::move(handler));
+        this->LeaveOut(choice.watcher.id, passed);
+        if (this->HasSourceJustFailed(this->clock.Now()) &&
+            !choice.accepts_stale) {
+          this->ReadAll(std::move(handler));
+        } else {
+          this->ReadSource(std::move(handler));
+        }
       });
 }
 
@@ -180,32 +184,32 @@
 
 void SharedSource::Watch(std::uint64_t after, state::Duration wait,
                          RoutingBatchHandler handler) {
-  const std::optional<state::HostAdvert> watcher =
-      this->PickWatcher(this->clock.Now());
-  if (!watcher) {
+  const std::optional<Choice> choice = this->ChooseWatcher(this->clock.Now());
+  if (!choice) {
     this->WatchSource(after, wait, std::move(handler));
     return;
   }
   ++this->watcher_calls;
   this->link.FollowChanges(
-      watcher->endpoint, after, kFollowerWait,
-      [this, after, wait, id = watcher->id, handler = std::move(handler)](
+      choice->watcher.endpoint, after, kFollowerWait,
+      [this, after, wait, choice = *choice, handler = std::move(handler)](
           const std::optional<PassedChanges>& passed) mutable {
         const state::TimePoint now = this->clock.Now();
-        if (!passed) {
-          this->roster.Suspect(id, now);
-          this->LeaveOut(id, passed);
-          this->Watch(after, wait, std::move(handler));
+        const bool is_usable = passed && !passed->is_history_gone &&
+                               (passed->age <= kMaxAge || choice.accepts_stale);
+        if (is_usable) {
+          handler(this->ToBatch(*passed));
           return;
         }
-        const bool is_fresh =
-            passed->age <= kMaxAge || this->HasSourceJustFailed(now);
-        if (passed->is_history_gone || !is_fresh) {
-          this->LeaveOut(id, passed);
+        this->LeaveOut(choice.watcher.id, passed);
+        if (!passed) this->roster.Suspect(choice.watcher.id, now);
+        const bool has_other = !passed || (this->HasSourceJustFailed(now) &&
+                                           !choice.accepts_stale);
+        if (has_other) {
+          this->Watch(after, wait, std::move(handler));
+        } else {
           this->WatchSource(after, wait, std::move(handler));
-          return;
         }
-        handler(this->ToBatch(*passed));
       });
 }
 
--- a/test/coordination/delegation/shared_source_test.cc
+++ b/test/coordination/delegation/shared_source_test.cc
@@ -332,6 +332,24 @@
   }
 }
 
+// Guards against the watcher with the old view being asked first while the
+// source fails, though the other one has the newest.
+TEST_CASE("Hosts that the source refuses follow the watcher that it serves") {
+  for (const char* stale : {"h0", "h1"}) {
+    SharingFleet fleet(kHosts);
+    fleet.Start();
+    fleet.Advance(Milliseconds(8'000));
+    const std::string served = stale == std::string("h0") ? "h1" : "h0";
+    fleet.SetSourceUp(false);
+    fleet.At(served).source.is_up = true;
+    fleet.Advance(Milliseconds(6'000));
+    const std::uint64_t revision = fleet.Write();
+    fleet.Advance(kOrderBound);
+    // The other watcher follows nobody.
+    CHECK(fleet.CountKnowing(revision) >= kHosts - 1);
+  }
+}
+
 TEST_CASE("A host of which the source refuses calls hears from a watcher") {
   SharingFleet fleet(kHosts);
   fleet.At("h7").source.is_up = false;
