Accept only health responses in answer to health checks

Cause: the second copy of an earlier answer arrived where the response to a health check was due, and was taken for it. It names no server, which counted as proof that another server has the address, and the server was marked as leaving, for good.

Ruled out: the broken answers that led to the check (without copies each server was cleared within 20 ms), and a check that was lost (server_cleared was logged, with an empty id).

Change: a health check accepts only a response that names no request and, if it is a success, names its server; others are discarded and it reads on.

--- a/include/banyanknot/protocol/relay_codec.h
+++ b/include/banyanknot/protocol/relay_codec.h
@@ -47,7 +47,11 @@
   /// \brief Encodes a health check of the server at `endpoint`.
   virtual HttpRequest EncodeHealthCheck(const state::Endpoint& endpoint,
                                         const std::string& path) const = 0;
+  /// \brief Returns true if a response is one to a health check, not to a
+  /// request: it names no request, and a success names its server.
+  virtual bool IsHealthResponse(const HttpResponse& response) const = 0;
   /// \brief Decodes the response to a health check.
+  /// \pre IsHealthResponse() holds
   virtual coordination::ServerHealth DecodeHealth(
       const HttpResponse& response) const = 0;
 
--- a/src/transport/relay_http_client.cc
+++ b/src/transport/relay_http_client.cc
@@ -118,7 +118,9 @@
 
 void RelayHttpClient::CheckHealth(coordination::HealthCheck check,
                                   coordination::ServerHealthHandler handler) {
-  HttpCall call(AcceptAnyResponse);
+  HttpCall call([this](const protocol::HttpResponse& response) {
+    return this->codec.IsHealthResponse(response);
+  });
   call.request = this->codec.EncodeHealthCheck(check.endpoint, check.path);
   call.deadline = this->clock.Now() + check.timeout;
   call.send_before = call.deadline;
--- a/test/platform/edge/edge_responses_test.cc
+++ b/test/platform/edge/edge_responses_test.cc
@@ -1,4 +1,5 @@
 #include <catch2/catch.hpp>
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -88,5 +89,52 @@
   CHECK(served >= 20);
 }
 
+/// Serves requests, but breaks off the answer to one called `broken`. Sends a
+/// second copy of the last answer on a connection before the response to a
+/// health check.
+std::vector<RawStep> ReactWithLateAnswers(
+    std::map<std::size_t, std::string>& last_answers,
+    const RawRequest& request) {
+  std::string& last_answer = last_answers[request.connection];
+  if (RawServerStandIn::IsHealthCheck(request)) {
+    return {{std::exchange(last_answer, ""), state::Duration(0), RawEnd::kGoOn},
+            {RawServerStandIn::Health("d1"), kServiceTime, RawEnd::kGoOn}};
+  }
+  last_answer = RawServerStandIn::Success("d1", request);
+  if (request.id == "broken") {
+    return {{last_answer.substr(0, last_answer.size() / 2), kServiceTime,
+             RawEnd::kClose}};
+  }
+  return {{last_answer, 5 * kServiceTime, RawEnd::kGoOn}};
+}
+
+// Guards against a late answer in the place of a health response excluding a
+// sound server for good.
+TEST_CASE("A late answer does not stand for the response to a health check") {
+  EdgeWorld world;
+  std::map<std::size_t, std::string> last_answers;  // by connection
+  const RawServerStandIn server("d1", [&last_answers](const RawRequest& seen) {
+    return ReactWithLateAnswers(last_answers, seen);
+  });
+  world.Store().Delete(std::string(wire::kServerPrefix) + "d2");
+  world.Register("d1", server.Port());
+  EdgeProcess edge("edge-1", "a", world.Store().Address(), world.Ports());
+  edge.Start();
+  REQUIRE(WaitFor([&edge] { return edge.IsReady(); }));
+  // Two connections to the server, one of which the broken answer closes.
+  RawCaller first(edge.Callers());
+  RawCaller second(edge.Callers());
+  first.Write(RawCaller::Request("/desk/1", "kept-1"));
+  second.Write(RawCaller::Request("/desk/1", "kept-2"));
+  REQUIRE(first.Read());
+  REQUIRE(second.Read());
+  REQUIRE(first.Call("/desk/1", "broken"));
+  CHECK(WaitFor([&edge] {
+    RawCaller caller(edge.Callers());
+    const std::optional<Response> response = caller.Call("/desk/1", "after");
+    return response && response->result_int() == 200;
+  }));
+}
+
 }  // namespace
 }  // namespace banyanknot::platform::edge_testing
--- a/test/platform/fuzz/fuzz_targets.cc
+++ b/test/platform/fuzz/fuzz_targets.cc
@@ -74,6 +74,7 @@
   response.headers = HeadersOf(message);
   response.body = message.body();
   const platform::HeaderRelayCodec codec;
+  codec.IsHealthResponse(response);
   codec.DecodeHealth(response);
   codec.IsReplyTo(response, "r-1");
   codec.DecodeReply(std::move(response));
--- a/test/platform/header_relay_codec_test.cc
+++ b/test/platform/header_relay_codec_test.cc
@@ -119,6 +119,37 @@
   }
 }
 
+// Guards against a late answer being taken for a health response.
+TEST_CASE("Only a response that names no request answers a health check") {
+  struct Row {
+    const char* name;
+    unsigned status;
+    std::vector<state::HeaderField> headers;
+    bool is_health;
+  };
+  const std::vector<Row> rows = {
+      {"healthy", 200, {{"Instance-Id", "i-1"}}, true},
+      {"draining", 503, {{"Instance-Id", "i-1"}}, true},
+      {"shed", 503, {{"Not-Executed", "1"}}, true},
+      {"unnamed success", 200, {}, false},
+      {"answer",
+       200,
+       {{"Attempt-Id", "abc"}, {"Server-Stamp", "s"}, {"Instance-Id", "i-1"}},
+       false},
+      {"refusal of a request",
+       503,
+       {{"Attempt-Id", "abc"}, {"Not-Executed", "1"}},
+       false},
+  };
+  for (const Row& row : rows) {
+    INFO(row.name);
+    protocol::HttpResponse response;
+    response.status = row.status;
+    response.headers = row.headers;
+    CHECK(kCodec.IsHealthResponse(response) == row.is_health);
+  }
+}
+
 TEST_CASE("Load and health are decoded and malformed load is ignored") {
   protocol::HttpResponse response;
   response.headers = {
