Check suspected servers whenever a change makes it possible

Cause: the servers of a returning domain are suspected until a health check clears them. The path of the check comes from the routes; without it the check was dropped, and nothing started it again.

Ruled out: a domain that stays out (other servers in it were used), and a check that failed (none was sent).

Change: a returning domain and a new version of the routes both start the checks of all servers that need one, by one function of the intake. A check that ends looks once more whether one is needed: a suspicion that arose meanwhile on another thread had found it still registered.

--- a/include/banyanknot/coordination/routing/routing_intake.h
+++ b/include/banyanknot/coordination/routing/routing_intake.h
@@ -45,6 +45,8 @@
   void ApplyRoutes(const state::RouteTablePtr& table);
   void ApplyDomain(const DomainStateChange& domain_change);
   void ApplyServer(const state::RegisteredServer& server);
+  /// \brief Starts the health checks that a change has made possible.
+  void CheckSuspects();
   /// \brief Cancels a deferred removal.
   void KeepServer(const state::InstanceId& id);
   void RemoveServer(const state::InstanceId& id, RemovalMode mode);
--- a/include/banyanknot/coordination/routing/server_directory.h
+++ b/include/banyanknot/coordination/routing/server_directory.h
@@ -1,6 +1,7 @@
 #ifndef BANYANKNOT_COORDINATION_ROUTING_SERVER_DIRECTORY_H_
 #define BANYANKNOT_COORDINATION_ROUTING_SERVER_DIRECTORY_H_
 
+#include <cstddef>
 #include <memory>
 #include <mutex>
 #include <set>
@@ -37,9 +38,10 @@
 
   /// \brief Takes a failure domain out of service, or puts it back with each
   /// of its servers under suspicion.
-  /// \returns its servers; empty if nothing changed
-  std::vector<TrackedServerPtr> SetDomainOut(
-      const state::FailureDomainId& domain, bool is_out);
+  /// \returns the number of its servers; 0 if nothing changed
+  std::size_t SetDomainOut(const state::FailureDomainId& domain, bool is_out);
+  /// \brief Returns the servers that only a health check puts back into use.
+  std::vector<TrackedServerPtr> Suspects() const;
   std::vector<state::FailureDomainId> DomainsOut() const;
 
   /// \brief Applies the connection limits of a new route table.
--- a/src/coordination/routing/routing_intake.cc
+++ b/src/coordination/routing/routing_intake.cc
@@ -83,6 +83,7 @@
 void RoutingIntake::ApplyRoutes(const state::RouteTablePtr& table) {
   if (!this->routes.InstallIfNewer(table)) return;
   this->servers.ApplyServices(*table);
+  this->CheckSuspects();
   if (this->listener) this->listener(*table);
   this->log.Write(EventCode::kRoutesInForce,
                   {{"version", std::to_string(table->Version())},
@@ -91,15 +92,19 @@
 }
 
 void RoutingIntake::ApplyDomain(const DomainStateChange& domain_change) {
-  const std::vector<TrackedServerPtr> affected =
+  const std::size_t affected =
       this->servers.SetDomainOut(domain_change.domain, domain_change.is_out);
-  for (const TrackedServerPtr& server : affected) {
-    if (!domain_change.is_out) this->checker.Check(server);
-  }
+  if (!domain_change.is_out) this->CheckSuspects();
   this->log.Write(EventCode::kDomainState,
                   {{"domain", domain_change.domain.Text()},
                    {"state", domain_change.is_out ? "out" : "in"},
-                   {"servers", std::to_string(affected.size())}});
+                   {"servers", std::to_string(affected)}});
+}
+
+void RoutingIntake::CheckSuspects() {
+  for (const TrackedServerPtr& server : this->servers.Suspects()) {
+    this->checker.Check(server);
+  }
 }
 
 void RoutingIntake::KeepServer(const state::InstanceId& id) {
--- a/src/coordination/routing/server_directory.cc
+++ b/src/coordination/routing/server_directory.cc
@@ -107,26 +107,36 @@
   return this->by_service.Find(service).value_or(kEmpty);
 }
 
-std::vector<TrackedServerPtr> ServerDirectory::SetDomainOut(
-    const state::FailureDomainId& domain, bool is_out) {
+std::size_t ServerDirectory::SetDomainOut(const state::FailureDomainId& domain,
+                                          bool is_out) {
   {
     const std::lock_guard<std::mutex> lock(this->domains_mutex);
     if (is_out) {
-      if (!this->domains_out.insert(domain).second) return {};
+      if (!this->domains_out.insert(domain).second) return 0;
     } else if (this->domains_out.erase(domain) == 0) {
-      return {};
+      return 0;
     }
   }
-  std::vector<TrackedServerPtr> affected;
+  std::size_t affected = 0;
   for (const TrackedServerPtr& server : this->All()) {
     if (server->Record().domain != domain) continue;
     if (!is_out) server->Suspect(ServerSuspicion::kDomainReturned);
     server->SetDomainOut(is_out);
-    affected.push_back(server);
+    ++affected;
   }
   return affected;
 }
 
+std::vector<TrackedServerPtr> ServerDirectory::Suspects() const {
+  std::vector<TrackedServerPtr> servers = this->All();
+  servers.erase(std::remove_if(servers.begin(), servers.end(),
+                               [](const TrackedServerPtr& server) {
+                                 return !server->NeedsHealthCheck();
+                               }),
+                servers.end());
+  return servers;
+}
+
 std::vector<state::FailureDomainId> ServerDirectory::DomainsOut() const {
   const std::lock_guard<std::mutex> lock(this->domains_mutex);
   return {this->domains_out.begin(), this->domains_out.end()};
--- a/src/coordination/routing/server_health_checker.cc
+++ b/src/coordination/routing/server_health_checker.cc
@@ -38,13 +38,28 @@
                      [this, server] { this->SendCheck(server); });
 }
 
-void ServerHealthChecker::SendCheck(const TrackedServerPtr& server) {
+std::optional<HealthCheck> ServerHealthChecker::MakeCheck(
+    const TrackedServerPtr& server) const {
   const state::RouteTablePtr table = this->routes.Current();
   const state::RegisteredServer& record = server->Record();
   const state::ServiceSpec* spec =
       table == nullptr ? nullptr : table->FindService(record.service);
-  if (!server->NeedsHealthCheck() || spec == nullptr) {
-    this->under_check.Take(server.get());
+  if (spec == nullptr || !server->NeedsHealthCheck()) return std::nullopt;
+  return HealthCheck{record.id, record.endpoint, spec->health_path,
+                     kHealthTimeout, server};
+}
+
+void ServerHealthChecker::EndCheck(const TrackedServerPtr& server) {
+  this->under_check.Take(server.get());
+  // A call of Check() has had no effect until now, though what made it
+  // necessary may have come after the decision to end.
+  if (this->MakeCheck(server)) this->Check(server);
+}
+
+void ServerHealthChecker::SendCheck(const TrackedServerPtr& server) {
+  std::optional<HealthCheck> check = this->MakeCheck(server);
+  if (!check) {
+    this->EndCheck(server);
     return;
   }
   // A reply since the check was scheduled may have asked for a back-off.
@@ -53,7 +68,7 @@
     return;
   }
   this->client.CheckHealth(
-      {record.id, record.endpoint, spec->health_path, kHealthTimeout, server},
+      std::move(*check),
       [this, server](const std::optional<ServerHealth>& health) {
         this->OnHealth(server, health);
       });
@@ -68,12 +83,12 @@
     this->ScheduleCheck(server);
     return;
   }
-  this->under_check.Take(server.get());
   if (health->server != record.id) {
     server->MarkLeaving();
   } else {
     server->ClearSuspicion(health->cold_for, now);
   }
+  this->EndCheck(server);
   this->log.Write(
       EventCode::kServerCleared,
       {{"server", record.id.Text()},
--- a/test/coordination/routing/routing_intake_test.cc
+++ b/test/coordination/routing/routing_intake_test.cc
@@ -232,5 +232,49 @@
   CHECK(intake.fixture.client.health_checks["s1"] == 1);
 }
 
+// Guards against a suspected server that can't be checked yet, since no route
+// names its service, never being checked at all.
+TEST_CASE("A service named after its domain returned is checked and used") {
+  IntakeFixture intake;
+  intake.fixture.Publish(intake.fixture.Server("n1", "later", "c"));
+  const state::FailureDomainId domain("c");
+  intake.fixture.Publish(DomainStateChange{domain, true});
+  intake.fixture.time.Advance(Milliseconds(1'000));
+  intake.fixture.Publish(DomainStateChange{domain, false});
+  intake.fixture.time.Advance(Milliseconds(5'000));
+  CHECK(intake.fixture.client.health_checks["n1"] == 0);
+  state::Route added = RelayFixture::RelayRoute(true);
+  added.prefix = "/added/";
+  added.split = {{state::ServiceId("later"), 1}};
+  intake.fixture.PutRoutes({RelayFixture::RelayRoute(true), added}, 6);
+  intake.fixture.time.Advance(Milliseconds(1'000));
+  CHECK(intake.fixture.client.health_checks["n1"] == 1);
+  CHECK(intake.fixture.Run("/added/1").answer.outcome ==
+        RelayOutcome::kAnswered);
+}
+
+TEST_CASE("A server whose service a version drops and names again is checked") {
+  IntakeFixture intake;
+  intake.BreakFirstServer();
+  intake.fixture.client.health = [](const state::InstanceId&) {
+    return std::nullopt;
+  };
+  intake.RequestsAt("s1", 1);
+  state::Route other = RelayFixture::RelayRoute(true);
+  other.split = {{state::ServiceId("elsewhere"), 1}};
+  intake.fixture.PutRoutes({other}, 6);
+  intake.fixture.time.Advance(Milliseconds(5'000));
+  const int checks = intake.fixture.client.health_checks["s1"];
+  intake.fixture.client.health = [](const state::InstanceId& server) {
+    return ServerHealth{server, true, state::Duration(0), {}};
+  };
+  intake.fixture.PutRoutes({RelayFixture::RelayRoute(true)}, 7);
+  intake.fixture.time.Advance(Milliseconds(2'000));
+  CHECK(intake.fixture.client.health_checks["s1"] > checks);
+  CHECK(intake.fixture.servers.HasUsableServer(state::ServiceId("desk"),
+                                               {state::InstanceId("s2")},
+                                               intake.fixture.time.Now()));
+}
+
 }  // namespace
 }  // namespace banyanknot::coordination::routing_testing
