Answer every request before a planned stop ends

Reported by another operator, and possible here: requests that came late in the grace of a planned stop were taken and passed on, and at its end cut with no answer, requests that may not be repeated among them (LOST).

Cause: deadlines lay beyond the end of the stop, and nothing was refused for want of time. It took whatever outlasted the stop: requests at a slow server, queued here, arriving slowly, or passed to another edge.

Ruled out: closes that crossed a request (it was read and sent on), servers that broke off (still at work).

Change: StopSequence tells its target when the last answer is due. Runners of requests refuse as not run, with the time at which another host is reached, what the stop is likely to end; limit the deadline of what they take; and answer what is left with what is known, 300 ms before the process ends.

--- a/daemons/process_stop_target.cc
+++ b/daemons/process_stop_target.cc
@@ -24,7 +24,8 @@
   this->handler = std::move(handler);
 }
 
-void ProcessStopTarget::AnnounceLeaving() {
+void ProcessStopTarget::AnnounceLeaving(
+    const coordination::StopSchedule& /*schedule*/) {
   this->membership.AnnounceLeaving(kLeaveAnnouncementSpread);
 }
 
--- a/daemons/process_stop_target.h
+++ b/daemons/process_stop_target.h
@@ -24,7 +24,7 @@
   /// be called before the shutdown begins.
   void SetStoppedHandler(StoppedHandler handler);
 
-  void AnnounceLeaving() override;
+  void AnnounceLeaving(const coordination::StopSchedule& schedule) override;
   void StopAccepting() override;
   std::size_t InFlight() const override;
   void OnStopped(coordination::StopPhase phase, std::size_t remaining) override;
--- a/daemons/relay_application.cc
+++ b/daemons/relay_application.cc
@@ -150,7 +150,7 @@
                         &host_metrics}),
         ready_server(threads.Context(), status_service, {}),
         metrics_server(threads.Context(), status_service, {}),
-        stop_target(executor, caller_server, peer_server),
+        stop_target(dispatcher, executor, caller_server, peer_server),
         stop_sequence(settings.id, clock, timers, policy_table, reachability,
                       stop_target, audit) {
     this->policy_table.Put(MakeFleetPolicyRecord(settings));
--- a/daemons/relay_stop_target.h
+++ b/daemons/relay_stop_target.h
@@ -16,12 +16,17 @@
   using StoppedHandler =
       std::function<void(coordination::StopPhase, std::size_t)>;
 
+  /// \param runner runs callers' requests, with `executor`
   /// \param server serves callers
   /// \param peer_server serves other hosts
-  RelayStopTarget(const coordination::RelayExecutor& executor,
+  RelayStopTarget(coordination::RelayRunner& runner,
+                  const coordination::RelayExecutor& executor,
                   transport::HttpServer& server,
                   transport::HttpServer& peer_server)
-      : executor(executor), server(server), peer_server(peer_server) {}
+      : runner(runner),
+        executor(executor),
+        server(server),
+        peer_server(peer_server) {}
 
   /// \brief Sets the handler that is called once the shutdown has ended. Must
   /// be called before the shutdown begins.
@@ -29,7 +34,10 @@
     this->handler = std::move(stopped_handler);
   }
 
-  void AnnounceLeaving() override { this->server.DisableKeepAlive(); }
+  void AnnounceLeaving(const coordination::StopSchedule& schedule) override {
+    this->server.DisableKeepAlive();
+    this->runner.FinishBy(schedule);
+  }
   void StopAccepting() override {
     this->server.Shutdown();
     this->peer_server.Shutdown();
@@ -44,6 +52,7 @@
   }
 
  private:
+  coordination::RelayRunner& runner;
   const coordination::RelayExecutor& executor;
   transport::HttpServer& server;
   transport::HttpServer& peer_server;
--- a/include/banyanknot/coordination/delegation/relay_dispatcher.h
+++ b/include/banyanknot/coordination/delegation/relay_dispatcher.h
@@ -13,6 +13,7 @@
 #include "banyanknot/coordination/metric_source.h"
 #include "banyanknot/coordination/routing/relay_runner.h"
 #include "banyanknot/coordination/routing/route_directory.h"
+#include "banyanknot/coordination/routing/stop_admission.h"
 #include "banyanknot/coordination/timer_service.h"
 #include "banyanknot/state/sharded_table.h"
 
@@ -34,19 +35,21 @@
   std::uint64_t Run(state::RelayRequest request,
                     RelayAnswerHandler handler) override;
   void Cancel(std::uint64_t number) override;
+  void FinishBy(const StopSchedule& schedule) override;
 
   /// \brief Returns the number of delegated requests without an answer.
   std::size_t Unanswered() const { return this->delegations.Size(); }
   void CollectMetrics(std::vector<MetricSample>& samples) const override;
 
  private:
+  struct Order;
   /// \brief A request at another host, or back here after it was declined.
   struct Delegation {
+    std::shared_ptr<Order> order;
     std::shared_ptr<RelayCall> call;
     std::uint64_t local_number = kNoRun;
     bool is_answered = false;
   };
-  struct Order;
 
   const state::Route* FindGatherRoute(const state::RouteTable& table,
                                       const state::RelayRequest& request) const;
@@ -54,6 +57,8 @@
   void OnResult(const std::shared_ptr<Order>& order, DelegationResult result);
   void RunHere(const std::shared_ptr<Order>& order);
   void SuspectIfSilent(const std::shared_ptr<Order>& order);
+  /// Answers the requests that other hosts have not answered yet.
+  void EndDelegations();
   void LogFailure(const Order& order, DelegationFailure failure);
 
   const Clock& clock;
@@ -63,6 +68,7 @@
   const RouteDirectory& routes;
   RelayRunner& local;
   EventLog& log;
+  StopAdmission stop_admission;
   std::atomic<std::uint64_t> next_number{1};
   std::atomic<std::uint64_t> answered{0};
   std::atomic<std::uint64_t> returned{0};
--- a/include/banyanknot/coordination/routing/relay_executor.h
+++ b/include/banyanknot/coordination/routing/relay_executor.h
@@ -17,6 +17,7 @@
 #include "banyanknot/coordination/routing/route_directory.h"
 #include "banyanknot/coordination/routing/server_health_checker.h"
 #include "banyanknot/coordination/routing/split_chooser.h"
+#include "banyanknot/coordination/routing/stop_admission.h"
 #include "banyanknot/coordination/timer_service.h"
 #include "banyanknot/state/sharded_table.h"
 
@@ -37,6 +38,7 @@
   std::uint64_t Run(state::RelayRequest request,
                     RelayAnswerHandler handler) override;
   void Cancel(std::uint64_t number) override;
+  void FinishBy(const StopSchedule& schedule) override;
 
   /// \brief Returns the number of requests without an answer.
   std::size_t Unanswered() const { return this->unanswered; }
@@ -53,8 +55,12 @@
   using Event = std::function<RelayEffects(RelayRun&)>;
 
   std::uint64_t Refuse(const state::RelayRequest& request,
-                       state::RelayOutcome outcome,
+                       state::RelayOutcome outcome, state::Duration retry_after,
                        const RelayAnswerHandler& handler);
+  bool IsAdmittedWhileStopping(const state::RelayRequest& request,
+                               const state::Route& route,
+                               const std::vector<state::ServiceId>& services);
+  void EndAll();
   void Post(std::uint64_t number, Event event);
   void HandleEvents(std::uint64_t number, const std::shared_ptr<RelayRun>& run,
                     Event event);
@@ -78,6 +84,7 @@
   ServerHealthChecker& checker;
   RelayJournal& journal;
   SplitChooser splits;
+  StopAdmission stop_admission;
   std::atomic<std::uint64_t> next_number{1};
   std::atomic<std::size_t> unanswered{0};
   state::ShardedTable<std::uint64_t, Entry> entries;
--- a/include/banyanknot/coordination/routing/relay_run.h
+++ b/include/banyanknot/coordination/routing/relay_run.h
@@ -49,6 +49,8 @@
                            state::TimePoint now);
   RelayEffects OnTimer(state::TimePoint now);
   RelayEffects OnCallerGone(state::TimePoint now);
+  /// \brief Answers with what is known, since this host is about to end.
+  RelayEffects OnHostStopping(state::TimePoint now);
 
   /// \brief Returns true once the request is answered and no attempt is open.
   bool IsSettled() const;
--- a/include/banyanknot/coordination/routing/relay_runner.h
+++ b/include/banyanknot/coordination/routing/relay_runner.h
@@ -5,6 +5,7 @@
 #include <functional>
 
 #include "banyanknot/coordination/routing/relay_answer.h"
+#include "banyanknot/coordination/stop_schedule.h"
 #include "banyanknot/state/routing/relay_request.h"
 
 namespace banyanknot::coordination {
@@ -27,6 +28,11 @@
 
   /// \brief Cancels a request whose caller has disconnected.
   virtual void Cancel(std::uint64_t number) = 0;
+
+  /// \brief Makes every request end in time for a shutdown that has begun: new
+  /// ones are refused if they might not, and what is left then is answered as
+  /// far as it is known.
+  virtual void FinishBy(const StopSchedule& schedule) = 0;
 };
 
 }  // namespace banyanknot::coordination
--- a/include/banyanknot/coordination/stop_target.h
+++ b/include/banyanknot/coordination/stop_target.h
@@ -4,6 +4,7 @@
 #include <cstddef>
 
 #include "banyanknot/coordination/stop_phase.h"
+#include "banyanknot/coordination/stop_schedule.h"
 
 namespace banyanknot::coordination {
 
@@ -14,8 +15,9 @@
  public:
   virtual ~StopTarget() = default;
 
-  /// \brief Announces that this host is leaving.
-  virtual void AnnounceLeaving() = 0;
+  /// \brief Announces that this host is leaving, and answers every request in
+  /// time.
+  virtual void AnnounceLeaving(const StopSchedule& schedule) = 0;
 
   /// \brief Stops accepting; connections in use close after their response.
   virtual void StopAccepting() = 0;
--- a/include/banyanknot/state/routing/relay_reason.h
+++ b/include/banyanknot/state/routing/relay_reason.h
@@ -18,10 +18,11 @@
   kServersFailed,           ///< every eligible server failed or refused
   kDeadline,                ///< the deadline passed first
   kCallerLeft,              ///< the caller closed its connection
+  kHostStopping,            ///< this host's shutdown ended it
 };
 
 /// \brief Names of RelayReason as written in logs.
-inline constexpr std::array<EnumName<RelayReason>, 8> kRelayReasonNames{{
+inline constexpr std::array<EnumName<RelayReason>, 9> kRelayReasonNames{{
     {RelayReason::kNone, ""},
     {RelayReason::kNoUsableServer, "no_usable_server"},
     {RelayReason::kNoCapacityInTime, "no_room_in_time"},
@@ -30,6 +31,7 @@
     {RelayReason::kServersFailed, "servers_failed"},
     {RelayReason::kDeadline, "deadline"},
     {RelayReason::kCallerLeft, "caller_left"},
+    {RelayReason::kHostStopping, "host_stopping"},
 }};
 
 /// \brief Returns the name of a RelayReason.
--- a/src/coordination/delegation/relay_dispatcher.cc
+++ b/src/coordination/delegation/relay_dispatcher.cc
@@ -70,8 +70,14 @@
   if (route == nullptr) {
     return LocalNumber(this->local.Run(std::move(request), std::move(handler)));
   }
-  const std::shared_ptr<Order> order = std::make_shared<Order>();
   if (request.deadline.count() <= 0) request.deadline = route->timeout;
+  this->stop_admission.LimitDeadline(request);
+  if (this->stop_admission.HasBegun() &&
+      request.received_at + request.deadline < now + route->objective) {
+    // Too late for another host; the one that answers callers decides.
+    return LocalNumber(this->local.Run(std::move(request), std::move(handler)));
+  }
+  const std::shared_ptr<Order> order = std::make_shared<Order>();
   request.outside_time =
       request.outside_time.value_or(RelayDeadlines::kDefaultOutsideTime) +
       kHopTime;
@@ -87,7 +93,9 @@
 
 std::uint64_t RelayDispatcher::Delegate(const std::shared_ptr<Order>& order) {
   order->number = DelegatedNumber(this->next_number++);
-  this->delegations.Insert(order->number, Delegation());
+  Delegation opened;
+  opened.order = order;
+  this->delegations.Insert(order->number, std::move(opened));
   std::shared_ptr<RelayCall> call =
       this->link.Delegate(order->gatherer.endpoint,
                           {order->request, order->routes_version,
@@ -179,6 +187,30 @@
   }
 }
 
+void RelayDispatcher::FinishBy(const StopSchedule& schedule) {
+  this->stop_admission.Begin(schedule);
+  this->timers.RunAt(schedule.answered_by, [this] { this->EndDelegations(); });
+  this->local.FinishBy(schedule);
+}
+
+void RelayDispatcher::EndDelegations() {
+  std::vector<std::uint64_t> numbers;
+  this->delegations.ForEach(
+      [&numbers](std::uint64_t number, const Delegation& delegation) {
+        if (delegation.local_number == kNoRun) numbers.push_back(number);
+      });
+  for (const std::uint64_t number : numbers) {
+    const std::optional<Delegation> ended = this->delegations.Take(number);
+    if (!ended) continue;
+    ++this->lost;
+    if (ended->call != nullptr) ended->call->Cancel();
+    RelayAnswer answer;
+    answer.outcome = state::RelayOutcome::kTimedOut;
+    answer.reason = state::RelayReason::kHostStopping;
+    ended->order->handler(answer);
+  }
+}
+
 void RelayDispatcher::LogFailure(const Order& order,
                                  DelegationFailure failure) {
   constexpr std::int64_t kMillisecondsPerSecond = 1'000;
--- a/src/coordination/fleet/stop_sequence.cc
+++ b/src/coordination/fleet/stop_sequence.cc
@@ -1,11 +1,15 @@
 #include "banyanknot/coordination/fleet/stop_sequence.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace banyanknot::coordination {
 namespace {
 
 constexpr state::Duration kCheckInterval = state::Milliseconds(20);
+/// From the last answer to the end of the shutdown: callers read it, and
+/// connections close.
+constexpr state::Duration kLastAnswersTime = state::Milliseconds(300);
 
 }  // namespace
 
@@ -43,8 +47,11 @@
                            "stop requested")) {
     return;
   }
-  this->target.AnnounceLeaving();
   const state::TimePoint now = this->clock.Now();
+  this->target.AnnounceLeaving(
+      {now + policy.leave_grace,
+       now + policy.stop_timeout -
+           std::min(kLastAnswersTime, policy.stop_timeout / 4)});
   this->timers.RunAt(now + policy.leave_grace,
                      [this] { this->StopAccepting(); });
   this->timers.RunAt(now + policy.stop_timeout,
--- a/src/coordination/routing/relay_executor.cc
+++ b/src/coordination/routing/relay_executor.cc
@@ -1,5 +1,6 @@
 #include "banyanknot/coordination/routing/relay_executor.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace banyanknot::coordination {
@@ -29,10 +30,11 @@
 
 std::uint64_t RelayExecutor::Refuse(const state::RelayRequest& request,
                                     state::RelayOutcome outcome,
+                                    state::Duration retry_after,
                                     const RelayAnswerHandler& handler) {
   RelayAnswer answer;
   answer.outcome = outcome;
-  answer.retry_after = kNotConfiguredRetryAfter;
+  answer.retry_after = retry_after;
   this->journal.RecordRefusal(request, outcome, this->clock.Now());
   handler(answer);
   return kNoRun;
@@ -42,20 +44,31 @@
                                  RelayAnswerHandler handler) {
   const state::RouteTablePtr table = this->routes.Current();
   if (table == nullptr) {
-    return this->Refuse(request, state::RelayOutcome::kNotConfigured, handler);
+    return this->Refuse(request, state::RelayOutcome::kNotConfigured,
+                        kNotConfiguredRetryAfter, handler);
   }
   if (request.id.empty()) {
-    return this->Refuse(request, state::RelayOutcome::kInvalid, handler);
+    return this->Refuse(request, state::RelayOutcome::kInvalid,
+                        state::Duration(0), handler);
   }
   const std::string path = request.target.substr(0, request.target.find('?'));
   const state::Route* route = table->Match(request.host, path);
   if (route == nullptr) {
-    return this->Refuse(request, state::RelayOutcome::kNoRoute, handler);
+    return this->Refuse(request, state::RelayOutcome::kNoRoute,
+                        state::Duration(0), handler);
   }
   if (request.deadline.count() <= 0) request.deadline = route->timeout;
-  const std::uint64_t number = this->next_number++;
   std::vector<state::ServiceId> services = route->shards;
   if (services.empty()) services.push_back(this->splits.Choose(*route));
+  if (this->stop_admission.HasBegun()) {
+    if (!this->IsAdmittedWhileStopping(request, *route, services)) {
+      return this->Refuse(request, state::RelayOutcome::kNotRun,
+                          this->stop_admission.RetryAfter(this->clock.Now()),
+                          handler);
+    }
+    this->stop_admission.LimitDeadline(request);
+  }
+  const std::uint64_t number = this->next_number++;
   Entry entry;
   entry.run = std::make_shared<RelayRun>(
       this->policies,
@@ -69,6 +82,35 @@
   return number;
 }
 
+bool RelayExecutor::IsAdmittedWhileStopping(
+    const state::RelayRequest& request, const state::Route& route,
+    const std::vector<state::ServiceId>& services) {
+  const state::TimePoint now = this->clock.Now();
+  state::Duration slowest{0};
+  for (const state::ServiceId& service : services) {
+    slowest =
+        std::max(slowest, this->policies.picker.TypicalReplyTime(service, now));
+  }
+  return this->stop_admission.Admits(request, route, slowest, now);
+}
+
+void RelayExecutor::FinishBy(const StopSchedule& schedule) {
+  this->stop_admission.Begin(schedule);
+  this->timers.RunAt(schedule.answered_by, [this] { this->EndAll(); });
+}
+
+void RelayExecutor::EndAll() {
+  std::vector<std::uint64_t> numbers;
+  this->entries.ForEach([&numbers](std::uint64_t number, const Entry& /*run*/) {
+    numbers.push_back(number);
+  });
+  for (const std::uint64_t number : numbers) {
+    this->Post(number, [this](RelayRun& run) {
+      return run.OnHostStopping(this->clock.Now());
+    });
+  }
+}
+
 void RelayExecutor::Cancel(std::uint64_t number) {
   this->Post(number, [this](RelayRun& run) {
     return run.OnCallerGone(this->clock.Now());
--- a/src/coordination/routing/relay_run.cc
+++ b/src/coordination/routing/relay_run.cc
@@ -292,6 +292,19 @@
   return effects;
 }
 
+RelayEffects RelayRun::OnHostStopping(state::TimePoint now) {
+  RelayEffects effects;
+  if (this->is_answered) return effects;
+  if (this->route.IsGather() &&
+      this->counts.parts_in >= this->counts.min_parts) {
+    this->AnswerMerged(effects);
+  } else {
+    this->Fail(state::RelayOutcome::kTimedOut,
+               state::RelayReason::kHostStopping, now, effects);
+  }
+  return effects;
+}
+
 void RelayRun::Evaluate(state::TimePoint now, RelayEffects& effects) {
   if (this->is_answered) return;
   if (this->route.IsGather()) {
--- a/test/coordination/fleet/stop_sequence_test.cc
+++ b/test/coordination/fleet/stop_sequence_test.cc
@@ -17,7 +17,10 @@
 
 class FakeTarget : public StopTarget {
  public:
-  void AnnounceLeaving() override { ++this->goodbyes; }
+  void AnnounceLeaving(const StopSchedule& new_schedule) override {
+    ++this->goodbyes;
+    this->schedule = new_schedule;
+  }
   void StopAccepting() override { ++this->stop_accepting_calls; }
   std::size_t InFlight() const override { return this->in_flight; }
   void OnStopped(StopPhase phase, std::size_t left) override {
@@ -31,6 +34,7 @@
   int stop_accepting_calls = 0;
   int ends = 0;
   std::optional<StopPhase> ended_as;
+  StopSchedule schedule;
 };
 
 struct Fixture {
--- a/test/platform/edge/edge_delegation_test.cc
+++ b/test/platform/edge/edge_delegation_test.cc
@@ -116,6 +116,37 @@
   CHECK(fleet.roomy.WaitForExit(kExitTimeout) == 0);
 }
 
+// Guards against gathers that outlast a planned stop being cut at its end,
+// whichever of the two edges stops.
+TEST_CASE("A planned stop answers the gathers that it can't finish") {
+  for (const bool stops_gatherer : {true, false}) {
+    INFO(stops_gatherer);
+    DelegationWorld fleet;
+    EdgeProcess& stopped = stops_gatherer ? fleet.roomy : fleet.small;
+    stopped.SetStopTimes(state::Milliseconds(400), state::Milliseconds(1'600));
+    fleet.Start();
+    REQUIRE(fleet.WaitUntilDelegating());
+    for (const std::size_t shard : {2, 3}) {
+      fleet.world.Server(shard).SetServiceTime(state::Milliseconds(10'000));
+    }
+    std::vector<std::unique_ptr<RawCaller>> callers;
+    for (int index = 0; index < 4; ++index) {
+      callers.push_back(std::make_unique<RawCaller>(fleet.small.Callers()));
+      callers.back()->Write(
+          RawCaller::Request("/all/1", RequestId(++fleet.requests)));
+    }
+    REQUIRE(WaitFor([&fleet] {
+      return DelegationWorld::Metric(
+                 fleet.roomy, "banyanknot_relay_requests_in_flight") == 4;
+    }));
+    stopped.Signal(SIGTERM);
+    for (const std::unique_ptr<RawCaller>& caller : callers) {
+      CHECK(StatusOf(caller->Read()) == 504);
+    }
+    CHECK(stopped.WaitForExit(kExitTimeout) == 0);
+  }
+}
+
 TEST_CASE("A frozen gatherer costs only the gathers that it had") {
   DelegationWorld fleet;
   fleet.Start();
--- a/test/platform/edge/edge_world.cc
+++ b/test/platform/edge/edge_world.cc
@@ -65,6 +65,13 @@
   std::ofstream(this->settings_path) << this->settings.dump();
 }
 
+void EdgeProcess::SetStopTimes(state::Duration leave_grace,
+                               state::Duration stop_bound) {
+  this->settings["leave_grace_ms"] = state::ToMilliseconds(leave_grace);
+  this->settings["stop_bound_ms"] = state::ToMilliseconds(stop_bound);
+  std::ofstream(this->settings_path) << this->settings.dump();
+}
+
 void EdgeProcess::Start() {
   this->process = std::make_unique<standins::ChildProcess>(
       BANYANKNOT_EDGE_PROGRAM,
--- a/test/platform/edge/edge_world.h
+++ b/test/platform/edge/edge_world.h
@@ -33,6 +33,8 @@
   /// \param seeds peer addresses of some edges
   /// \param core_share its processor share
   void JoinFleet(const std::vector<state::Endpoint>& seeds, double core_share);
+  /// \brief Sets the times of a planned stop; before Start().
+  void SetStopTimes(state::Duration leave_grace, state::Duration stop_bound);
   const std::string& SettingsPath() const { return this->settings_path; }
 
   void Start();
