Read the limits of callers' connections where they are applied

Cause: a connection took the limits when it began to wait for a request and kept them however long it was idle.

Ruled out: a version that was late, and limits read wrongly: new connections applied the new ones at once.

Change: a connection keeps no limits; each is read where it applies. One that is idle when the idle timeout is raised is no longer closed at the older one.

--- a/include/banyanknot/transport/http_server.h
+++ b/include/banyanknot/transport/http_server.h
@@ -73,7 +73,8 @@
   state::Result<std::uint16_t, TransportError> Listen(
       const state::Endpoint& endpoint);
 
-  /// \brief Sets the limits; a connection applies them from its next request.
+  /// \brief Sets the limits. Open connections apply them as well: to requests
+  /// whose head has not been read, and to the time that they are idle.
   void SetLimits(const HttpServerLimits& limits);
 
   /// \brief Closes each connection after its next response; new connections are
--- a/src/transport/server_connection.cc
+++ b/src/transport/server_connection.cc
@@ -95,12 +95,7 @@
 }
 
 void ServerConnection::ReadNext() {
-  this->limits = this->server->Limits();
   this->is_busy = this->buffer.size() > 0;
-  this->parser.emplace();
-  this->parser->body_limit(this->limits.max_body_bytes);
-  this->parser->header_limit(
-      static_cast<std::uint32_t>(this->limits.max_header_bytes));
   if (this->is_busy) {
     this->BeginRequest();
   } else if (this->server->is_shut_down) {
@@ -111,10 +106,32 @@
 }
 
 void ServerConnection::WaitForRequest() {
-  this->stream.expires_after(this->limits.idle_timeout);
+  this->stream.expires_never();
+  this->idle_since = std::chrono::steady_clock::now();
+  this->ArmIdleTimer();
   this->ReadSome(&ServerConnection::BeginRequest);
 }
 
+void ServerConnection::ArmIdleTimer() {
+  this->timer.expires_at(this->idle_since +
+                         this->server->Limits().idle_timeout);
+  this->timer.async_wait(
+      [self = this->shared_from_this()](const beast::error_code& error) {
+        if (!error && !self->is_busy) self->OnIdleTimer();
+      });
+}
+
+void ServerConnection::OnIdleTimer() {
+  // The limit may have been raised since the timer was set.
+  if (std::chrono::steady_clock::now() <
+      this->idle_since + this->server->Limits().idle_timeout) {
+    this->ArmIdleTimer();
+    return;
+  }
+  beast::error_code ignored;
+  this->stream.socket().cancel(ignored);  // ends the read
+}
+
 void ServerConnection::ReadSome(void (ServerConnection::*then)()) {
   constexpr std::size_t kReadBytes = 4096;
   this->stream.async_read_some(
@@ -133,8 +150,8 @@
 void ServerConnection::BeginRequest() {
   this->is_busy = true;
   this->stream.expires_never();
-  this->read_timer.expires_after(this->limits.read_timeout);
-  this->read_timer.async_wait(
+  this->timer.expires_after(this->server->Limits().read_timeout);
+  this->timer.async_wait(
       [self = this->shared_from_this()](const beast::error_code& error) {
         if (error) return;
         self->has_read_timed_out = true;
@@ -148,12 +165,12 @@
   const std::string_view bytes(
       static_cast<const char*>(this->buffer.data().data()),
       this->buffer.size());
-  switch (ExamineHead(bytes, this->limits.max_header_bytes)) {
+  switch (ExamineHead(bytes, this->server->Limits().max_header_bytes)) {
     case HeadState::kIncomplete:
       this->ReadSome(&ServerConnection::ReadHead);
       break;
     case HeadState::kFolded:
-      this->read_timer.cancel();
+      this->timer.cancel();
       this->Reject(400, kMalformedBody);
       break;
     case HeadState::kComplete:
@@ -163,6 +180,11 @@
 }
 
 void ServerConnection::ReadRequest() {
+  const HttpServerLimits limits = this->server->Limits();
+  this->parser.emplace();
+  this->parser->body_limit(limits.max_body_bytes);
+  this->parser->header_limit(
+      static_cast<std::uint32_t>(limits.max_header_bytes));
   http::async_read(this->stream, this->buffer, *this->parser,
                    [self = this->shared_from_this()](
                        const beast::error_code& error, std::size_t /*bytes*/) {
@@ -171,7 +193,7 @@
 }
 
 void ServerConnection::OnRead(const beast::error_code& error) {
-  this->read_timer.cancel();
+  this->timer.cancel();
   if (error == http::error::header_limit) {
     this->Reject(431, R"({"outcome":"invalid","error":"header_too_large"})");
     return;
@@ -241,7 +263,7 @@
   keep_alive = keep_alive && !response.closes_connection &&
                !this->server->is_shut_down && this->server->allows_keep_alive;
   this->response = ToBeast(response, keep_alive);
-  this->stream.expires_after(this->limits.write_timeout);
+  this->stream.expires_after(this->server->Limits().write_timeout);
   http::async_write(this->stream, this->response,
                     [self = this->shared_from_this(), keep_alive](
                         const beast::error_code& error, std::size_t /*bytes*/) {
@@ -265,7 +287,7 @@
 void ServerConnection::DiscardUntilClosed() {
   beast::error_code ignored;
   this->stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
-  this->stream.expires_after(this->limits.linger);
+  this->stream.expires_after(this->server->Limits().linger);
   this->DiscardNext();
 }
 
@@ -285,7 +307,7 @@
 }
 
 void ServerConnection::Close() {
-  this->read_timer.cancel();
+  this->timer.cancel();
   beast::error_code ignored;
   this->stream.socket().shutdown(tcp::socket::shutdown_both, ignored);
   this->stream.socket().close(ignored);
--- a/src/transport/server_connection.h
+++ b/src/transport/server_connection.h
@@ -6,6 +6,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
+#include <chrono>
 #include <memory>
 #include <optional>
 #include <utility>
@@ -23,9 +24,8 @@
   ServerConnection(std::shared_ptr<HttpServer::Impl> server,
                    boost::asio::ip::tcp::socket socket)
       : server(std::move(server)),
-        limits(this->server->Limits()),
         stream(std::move(socket)),
-        read_timer(this->stream.get_executor()) {}
+        timer(this->stream.get_executor()) {}
 
   void Start() {
     // The peek for a close must not block its thread: the wait for readability
@@ -69,6 +69,8 @@
 
   void ReadNext();
   void WaitForRequest();
+  void ArmIdleTimer();
+  void OnIdleTimer();
   void BeginRequest();
   void ReadHead();
   void ReadRequest();
@@ -82,14 +84,14 @@
   void Close();
 
   const std::shared_ptr<HttpServer::Impl> server;
-  HttpServerLimits limits;  // as of the current request
   boost::beast::tcp_stream stream;
   boost::beast::flat_buffer buffer;
   std::optional<
       boost::beast::http::request_parser<boost::beast::http::string_body>>
       parser;
   boost::beast::http::response<boost::beast::http::string_body> response;
-  boost::asio::steady_timer read_timer;
+  boost::asio::steady_timer timer;  // for the next request, then to read it
+  std::chrono::steady_clock::time_point idle_since;
   bool is_new = true;    // until its first request is read
   bool is_busy = false;  // from the first byte of a request to its response
   bool has_read_timed_out = false;  // of the request
--- a/test/platform/edge/edge_process_test.cc
+++ b/test/platform/edge/edge_process_test.cc
@@ -110,6 +110,26 @@
   CHECK(RunsOf(world, "wide") == 0);
 }
 
+// Guards against requests on connections that were open before a change being
+// refused by the limits of the older version.
+TEST_CASE("The limits of a new version apply to open connections") {
+  EdgeWorld world;
+  const std::unique_ptr<EdgeProcess> edge = StartReady(world);
+  RawCaller used(edge->Callers());
+  RawCaller fresh(edge->Callers());
+  REQUIRE(StatusOf(used.Call("/desk/1", "before")) == 200);
+  world.PutRoutes(2, 100'000);
+  REQUIRE(WaitFor([&edge] {
+    const std::optional<nlohmann::json> line =
+        edge->WaitForEvent("routes_in_force", kEventTimeout);
+    return line && line->value("version", "") == "2";
+  }));
+  for (RawCaller* caller : {&used, &fresh}) {
+    CHECK(StatusOf(caller->Call("/desk/1", "large", "POST",
+                                std::string(50'000, 'x'))) == 200);
+  }
+}
+
 TEST_CASE("Pipelined requests are answered in order") {
   EdgeWorld world;
   const std::unique_ptr<EdgeProcess> edge = StartReady(world);
--- a/test/platform/edge/edge_world.cc
+++ b/test/platform/edge/edge_world.cc
@@ -131,7 +131,7 @@
                    {"born", 1}});
 }
 
-void EdgeWorld::PutRoutes(std::uint64_t version) {
+void EdgeWorld::PutRoutes(std::uint64_t version, std::size_t max_body_bytes) {
   json desk = RouteJson("desk", "/desk/", "idempotent");
   desk["Service"] = "desk";
   json once = RouteJson("once", "/once/", "non_idempotent");
@@ -148,7 +148,7 @@
         {ServiceJson("desk"), ServiceJson("shard0"), ServiceJson("shard1")}},
        {"Limits",
         {{"MaxHeaderBytes", 4'096},
-         {"MaxBodyBytes", 8'192},
+         {"MaxBodyBytes", max_body_bytes},
          {"HeaderTimeoutMs", 3'000},
          {"IdleTimeoutMs", 10'000}}}});
 }
--- a/test/platform/edge/edge_world.h
+++ b/test/platform/edge/edge_world.h
@@ -83,7 +83,7 @@
   void Register(const ServerStandIn& server, std::uint16_t port = 0);
   /// \brief Registers the server `id` at an address.
   void Register(const std::string& id, std::uint16_t port);
-  void PutRoutes(std::uint64_t version);
+  void PutRoutes(std::uint64_t version, std::size_t max_body_bytes = 8'192);
 
   static constexpr const char* kHost = "desk.example";
 
--- a/test/transport/http_server_test.cc
+++ b/test/transport/http_server_test.cc
@@ -197,6 +197,36 @@
   CHECK(FirstLine(used.ReadAll()) == "HTTP/1.1 200 OK");
 }
 
+// Guards against a request being judged by limits that were read when its
+// connection became idle.
+TEST_CASE("Raised limits apply to connections that are open") {
+  HttpServerLimits limits = SmallLimits();
+  limits.read_timeout = state::Milliseconds(5'000);
+  limits.idle_timeout = state::Milliseconds(1'000);
+  ServerFixture fixture(limits);
+  RawHttpClient fresh(fixture.port);
+  RawHttpClient used(fixture.port);
+  RawHttpClient begun(fixture.port);
+  used.Write(Post("/", "small"));
+  CHECK(FirstLine(used.ReadUntil("small")) == "HTTP/1.1 200 OK");
+  const std::string large = Post("/", std::string(5'000, 'x') + "end");
+  begun.Write(large.substr(0, 10));
+  // The first bytes are read by the time that a later request is served.
+  used.Write(Post("/", "again"));
+  CHECK(FirstLine(used.ReadUntil("again")) == "HTTP/1.1 200 OK");
+  limits.max_body_bytes = 10'000;
+  limits.idle_timeout = state::Milliseconds(60'000);
+  fixture.server.SetLimits(limits);
+  begun.Write(large.substr(10));
+  CHECK(FirstLine(begun.ReadUntil("end")) == "HTTP/1.1 200 OK");
+  // Past the idle timeout that was in force when they became idle.
+  std::this_thread::sleep_for(std::chrono::milliseconds(1'300));
+  for (RawHttpClient* caller : {&fresh, &used}) {
+    caller->Write(large);
+    CHECK(FirstLine(caller->ReadUntil("end")) == "HTTP/1.1 200 OK");
+  }
+}
+
 TEST_CASE("A caller that disconnects during a request affects no other") {
   ServerFixture fixture;
   {
