End a planned stop within the platform's grace

The stop ended 5.5 s after SIGTERM whatever the deployment's time until SIGKILL. With a shorter one the process would have been killed with requests in progress.

Change: the setting stop_grace_s, rendered from the deployment's own figure, ends the stop half a second before; the time for the load balancer is at most half of that. With 6 s, as on all sites in force, nothing changes.

Test "A stop ends before the process would be killed": with 2 s of grace the edge exits with status 0 within them and has answered; without the setting the program refuses the settings file, so there is no run before.

--- a/daemons/relay_settings.cc
+++ b/daemons/relay_settings.cc
@@ -1,5 +1,6 @@
 #include "relay_settings.h"
 
+#include <algorithm>
 #include <optional>
 
 #include "banyanknot/protocol/json_reader.h"
@@ -12,6 +13,8 @@
 constexpr std::uint64_t kMaxThreads = 256;
 constexpr std::uint64_t kDefaultMemoryMb = 256;
 constexpr std::uint64_t kMaxMemoryMb = 1'000'000;
+/// Between the end of a shutdown and the time at which the process is killed.
+constexpr state::Duration kKillMargin = state::Milliseconds(500);
 
 state::Endpoint ReadEndpoint(protocol::JsonReader& reader, const char* member) {
   const std::string text = reader.String(member);
@@ -23,6 +26,16 @@
   return endpoint.value_or(state::Endpoint());
 }
 
+/// Ends the shutdown before the process is killed, `grace_s` after its start.
+void LimitStopTimes(double grace_s, RelaySettings& settings) {
+  constexpr double kMillisecondsPerSecond = 1'000;
+  settings.stop_timeout =
+      state::FromFractionalMilliseconds(grace_s * kMillisecondsPerSecond) -
+      kKillMargin;
+  settings.leave_grace =
+      std::min(settings.leave_grace, settings.stop_timeout / 2);
+}
+
 RelaySettings ReadMembers(protocol::JsonReader& reader) {
   RelaySettings settings;
   settings.id = state::HostId(reader.String("id"));
@@ -52,6 +65,9 @@
                        ? reader.AnyOrNull("core_share").get<double>() *
                              static_cast<double>(settings.threads)
                        : settings.cores;
+  if (reader.AnyOrNull("stop_grace_s").is_number()) {
+    LimitStopTimes(reader.AnyOrNull("stop_grace_s").get<double>(), settings);
+  }
   settings.leave_grace =
       reader.MillisecondsOr("leave_grace_ms", settings.leave_grace);
   settings.stop_timeout =
--- a/src/protocol/json_schema_texts.cc
+++ b/src/protocol/json_schema_texts.cc
@@ -65,6 +65,7 @@
     "threads": {"type": "integer", "minimum": 1, "maximum": 256},
     "leave_grace_ms": {"type": "integer", "minimum": 0, "maximum": 600000},
     "stop_bound_ms": {"type": "integer", "minimum": 0, "maximum": 600000},
+    "stop_grace_s": {"type": "number", "minimum": 1, "maximum": 600},
     "extra_request_share": {"type": "number", "minimum": 0, "maximum": 1},
     "log_severity": {"enum": ["info", "warning", "error"]}
   },
--- a/test/platform/edge/edge_stop_test.cc
+++ b/test/platform/edge/edge_stop_test.cc
@@ -112,5 +112,24 @@
   CHECK(stopping.edge.WaitForExit(kExitTimeout) == 0);
 }
 
+// Guards against a stop that outlasts the platform's patience.
+TEST_CASE("A stop ends before the process would be killed") {
+  constexpr state::Duration kGrace = state::Milliseconds(2'000);
+  EdgeWorld world;
+  EdgeProcess edge("edge-1", "a", world.Store().Address(), world.Ports());
+  edge.SetStopGrace(2.0);
+  edge.Start();
+  REQUIRE(WaitFor([&edge] { return edge.IsReady(); }));
+  for (const std::unique_ptr<ServerStandIn>& server : world.Servers()) {
+    server->SetServiceTime(kLongService);
+  }
+  RawCaller caller(edge.Callers());
+  caller.Write(RawCaller::Request("/once/1", "outlasting"));
+  REQUIRE(WaitFor([&world] { return RunsOf(world, "outlasting") > 0; }));
+  edge.Signal(SIGTERM);
+  CHECK(edge.WaitForExit(kGrace) == 0);
+  CHECK(StatusOf(caller.Read()) == 504);
+}
+
 }  // namespace
 }  // namespace banyanknot::platform::edge_testing
--- a/test/platform/edge/edge_world.cc
+++ b/test/platform/edge/edge_world.cc
@@ -72,6 +72,11 @@
   std::ofstream(this->settings_path) << this->settings.dump();
 }
 
+void EdgeProcess::SetStopGrace(double seconds) {
+  this->settings["stop_grace_s"] = seconds;
+  std::ofstream(this->settings_path) << this->settings.dump();
+}
+
 void EdgeProcess::Start() {
   this->process = std::make_unique<standins::ChildProcess>(
       BANYANKNOT_EDGE_PROGRAM,
--- a/test/platform/edge/edge_world.h
+++ b/test/platform/edge/edge_world.h
@@ -35,6 +35,8 @@
   void JoinFleet(const std::vector<state::Endpoint>& seeds, double core_share);
   /// \brief Sets the times of a planned stop; before Start().
   void SetStopTimes(state::Duration leave_grace, state::Duration stop_bound);
+  /// \brief Sets the time from SIGTERM to SIGKILL; before Start().
+  void SetStopGrace(double seconds);
   const std::string& SettingsPath() const { return this->settings_path; }
 
   void Start();
