--- a/test/platform/edge/edge_delegation_test.cc
+++ b/test/platform/edge/edge_delegation_test.cc
@@ -20,10 +20,6 @@
 
 constexpr state::Duration kExitTimeout = state::Milliseconds(15'000);
 
-unsigned StatusOf(const std::optional<Response>& response) {
-  return response ? response->result_int() : 0;
-}
-
 /// An id as long as a record, of which gathered bodies consist.
 std::string RequestId(int number) {
   std::string id = std::to_string(number);
--- a/test/platform/edge/edge_process_test.cc
+++ b/test/platform/edge/edge_process_test.cc
@@ -23,10 +23,6 @@
 /// The smallest hosts have 160 MB.
 constexpr std::size_t kMaxResidentKb = 160'000;
 
-unsigned StatusOf(const std::optional<Response>& response) {
-  return response ? response->result_int() : 0;
-}
-
 std::unique_ptr<EdgeProcess> StartReady(EdgeWorld& world) {
   std::unique_ptr<EdgeProcess> edge = std::make_unique<EdgeProcess>(
       "edge-1", "a", world.Store().Address(), world.Ports());
@@ -35,14 +31,6 @@
   return edge;
 }
 
-std::size_t RunsOf(const EdgeWorld& world, const std::string& request_id) {
-  std::size_t runs = 0;
-  for (const std::unique_ptr<ServerStandIn>& server : world.Servers()) {
-    runs += server->RunsOf(request_id);
-  }
-  return runs;
-}
-
 TEST_CASE("The edge program relays and gathers") {
   EdgeWorld world;
   const std::unique_ptr<EdgeProcess> edge = StartReady(world);
@@ -90,8 +78,8 @@
     CHECK(caller.IsClosedByPeer());
     CHECK(StatusOf(other.Call("/desk/1", "fine")) == 200);
   }
-  CHECK(RunsOf(world, "bad") == 0);
-  CHECK(RunsOf(world, "smuggled") == 0);
+  CHECK(world.RunsOf("bad") == 0);
+  CHECK(world.RunsOf("smuggled") == 0);
 }
 
 TEST_CASE("The configured limits on header and body size are enforced") {
@@ -106,8 +94,8 @@
   RawCaller long_target(edge->Callers());
   CHECK(StatusOf(long_target.Call("/desk/" + std::string(5'000, 'y'),
                                   "wide")) == 431);
-  CHECK(RunsOf(world, "large") == 0);
-  CHECK(RunsOf(world, "wide") == 0);
+  CHECK(world.RunsOf("large") == 0);
+  CHECK(world.RunsOf("wide") == 0);
 }
 
 // Guards against requests on connections that were open before a change being
@@ -197,7 +185,7 @@
       return status != 0;
     }));
     CHECK((status == row.status || status == 503));
-    CHECK(RunsOf(world, id) == (status == 503 ? 0 : row.runs));
+    CHECK(world.RunsOf(id) == (status == 503 ? 0 : row.runs));
   }
 }
 
@@ -209,12 +197,12 @@
   const std::unique_ptr<EdgeProcess> edge = StartReady(world);
   RawCaller caller(edge->Callers());
   caller.Write(RawCaller::Request("/desk/1", "left"));
-  REQUIRE(WaitFor([&world] { return RunsOf(world, "left") > 0; }));
+  REQUIRE(WaitFor([&world] { return world.RunsOf("left") > 0; }));
   caller.Close();
   CHECK(WaitFor([&world] {
     return world.Server(0).AbandonedRequests() +
                world.Server(1).AbandonedRequests() ==
-           RunsOf(world, "left");
+           world.RunsOf("left");
   }));
 }
 
@@ -230,7 +218,7 @@
     world.Server(index).SetServiceTime(state::Milliseconds(600));
   }
   busy.Write(RawCaller::Request("/desk/1", "during"));
-  REQUIRE(WaitFor([&world] { return RunsOf(world, "during") > 0; }));
+  REQUIRE(WaitFor([&world] { return world.RunsOf("during") > 0; }));
   edge->Signal(SIGTERM);
   REQUIRE(WaitFor([&edge] { return !edge->IsReady(); }));
   const std::optional<Response> last = kept.Call("/desk/1", "late");
@@ -383,7 +371,7 @@
     RawCaller caller(edge.Callers());
     return StatusOf(caller.Call("/desk/1", "later")) == 200;
   }));
-  CHECK(RunsOf(world, "early") == 0);
+  CHECK(world.RunsOf("early") == 0);
 }
 
 }  // namespace
--- a/test/platform/edge/edge_stop_test.cc
+++ b/test/platform/edge/edge_stop_test.cc
@@ -23,18 +23,6 @@
 /// Longer than any stop here; requests have a deadline of 2 s.
 constexpr state::Duration kLongService = state::Milliseconds(10'000);
 
-unsigned StatusOf(const std::optional<Response>& response) {
-  return response ? response->result_int() : 0;
-}
-
-std::size_t RunsOf(const EdgeWorld& world, const std::string& request_id) {
-  std::size_t runs = 0;
-  for (const std::unique_ptr<ServerStandIn>& server : world.Servers()) {
-    runs += server->RunsOf(request_id);
-  }
-  return runs;
-}
-
 struct StoppingWorld {
   StoppingWorld()
       : edge("edge-1", "a", world.Store().Address(), world.Ports()) {
@@ -65,14 +53,14 @@
     callers.back()->Write(RawCaller::Request(targets[index % 3],
                                              "long-" + std::to_string(index)));
   }
-  REQUIRE(WaitFor([&] { return RunsOf(stopping.world, "long-0") > 0; }));
+  REQUIRE(WaitFor([&] { return stopping.world.RunsOf("long-0") > 0; }));
   stopping.edge.Signal(SIGTERM);
   for (std::size_t index = 0; index < callers.size(); ++index) {
     const std::string id = "long-" + std::to_string(index);
     INFO(id);
     const unsigned status = StatusOf(callers[index]->Read());
     CHECK((status == 502 || status == 503 || status == 504));
-    if (status == 503) CHECK(RunsOf(stopping.world, id) == 0);
+    if (status == 503) CHECK(stopping.world.RunsOf(id) == 0);
   }
   CHECK(stopping.edge.WaitForExit(kExitTimeout) == 0);
 }
@@ -105,7 +93,7 @@
   slow_caller.Write(slow.substr(slow.size() / 2));
   const std::optional<Response> refused = once_caller.Read();
   CHECK(StatusOf(refused) == 503);
-  CHECK(RunsOf(stopping.world, "late-once") == 0);
+  CHECK(stopping.world.RunsOf("late-once") == 0);
   if (refused) CHECK_FALSE((*refused)[wire::kRetryAfter].empty());
   const unsigned status = StatusOf(slow_caller.Read());
   CHECK((status == 503 || status == 504));
@@ -125,7 +113,7 @@
   }
   RawCaller caller(edge.Callers());
   caller.Write(RawCaller::Request("/once/1", "outlasting"));
-  REQUIRE(WaitFor([&world] { return RunsOf(world, "outlasting") > 0; }));
+  REQUIRE(WaitFor([&world] { return world.RunsOf("outlasting") > 0; }));
   edge.Signal(SIGTERM);
   CHECK(edge.WaitForExit(kGrace) == 0);
   CHECK(StatusOf(caller.Read()) == 504);
--- a/test/platform/edge/edge_world.cc
+++ b/test/platform/edge/edge_world.cc
@@ -120,6 +120,14 @@
   this->PutRoutes(1);
 }
 
+std::size_t EdgeWorld::RunsOf(const std::string& request_id) const {
+  std::size_t runs = 0;
+  for (const std::unique_ptr<ServerStandIn>& server : this->servers) {
+    runs += server->RunsOf(request_id);
+  }
+  return runs;
+}
+
 void EdgeWorld::Register(const ServerStandIn& server, std::uint16_t port) {
   this->Register(server.Id(), port == 0 ? server.Port() : port);
 }
--- a/test/platform/edge/edge_world.h
+++ b/test/platform/edge/edge_world.h
@@ -81,6 +81,8 @@
   const std::vector<std::unique_ptr<ServerStandIn>>& Servers() const {
     return this->servers;
   }
+  /// \brief Returns how often the request `request_id` ran at all servers.
+  std::size_t RunsOf(const std::string& request_id) const;
   /// \brief Registers a server, at `port` instead of its own unless 0.
   void Register(const ServerStandIn& server, std::uint16_t port = 0);
   /// \brief Registers the server `id` at an address.
--- a/test/platform/edge/raw_caller.h
+++ b/test/platform/edge/raw_caller.h
@@ -48,6 +48,11 @@
   boost::beast::flat_buffer buffer;
 };
 
+/// \brief Returns the status of a response; 0 if there is none.
+inline unsigned StatusOf(const std::optional<RawCaller::Response>& response) {
+  return response ? response->result_int() : 0;
+}
+
 }  // namespace banyanknot::platform::edge_testing
 
 #endif  // BANYANKNOT_TEST_PLATFORM_EDGE_RAW_CALLER_H_
