--- a/daemons/process_stop_target.cc
+++ b/daemons/process_stop_target.cc
@@ -26,6 +26,7 @@
 
 void ProcessStopTarget::AnnounceLeaving(
     const coordination::StopSchedule& /*schedule*/) {
+  // Services' limits keep deadlines well below the time for a shutdown.
   this->membership.AnnounceLeaving(kLeaveAnnouncementSpread);
 }
 
--- a/include/banyanknot/coordination/routing/stop_admission.h
+++ b/include/banyanknot/coordination/routing/stop_admission.h
@@ -1,6 +1,7 @@
 #ifndef BANYANKNOT_COORDINATION_ROUTING_STOP_ADMISSION_H_
 #define BANYANKNOT_COORDINATION_ROUTING_STOP_ADMISSION_H_
 
+#include <atomic>
 #include <mutex>
 #include <optional>
 
@@ -19,7 +20,7 @@
 class StopAdmission {
  public:
   void Begin(const StopSchedule& schedule);
-  bool HasBegun() const;
+  bool HasBegun() const { return this->has_begun; }
 
   /// \param typical_reply_time of the slowest service that the request needs
   bool Admits(const state::RelayRequest& request, const state::Route& route,
@@ -34,6 +35,8 @@
  private:
   std::optional<StopSchedule> Schedule() const;
 
+  // Set after the schedule; without a stop, requests take no lock.
+  std::atomic<bool> has_begun{false};
   mutable std::mutex mutex;
   std::optional<StopSchedule> schedule;
 };
--- a/src/coordination/routing/stop_admission.cc
+++ b/src/coordination/routing/stop_admission.cc
@@ -16,17 +16,19 @@
 }  // namespace
 
 void StopAdmission::Begin(const StopSchedule& new_schedule) {
-  const std::lock_guard<std::mutex> lock(this->mutex);
-  this->schedule = new_schedule;
+  {
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    this->schedule = new_schedule;
+  }
+  this->has_begun = true;
 }
 
 std::optional<StopSchedule> StopAdmission::Schedule() const {
+  if (!this->has_begun) return std::nullopt;
   const std::lock_guard<std::mutex> lock(this->mutex);
   return this->schedule;
 }
 
-bool StopAdmission::HasBegun() const { return this->Schedule().has_value(); }
-
 bool StopAdmission::Admits(const state::RelayRequest& request,
                            const state::Route& route,
                            state::Duration typical_reply_time,
