Reserve received bytes in one atomic step

Cause: the budget added a reservation before it compared the sum with the limit, and took a refused one back. Meanwhile the sum was too high, and a reservation of another thread that fits was refused, so that a sound reply could be cut off.

Ruled out: memory above the limit; a refused reservation holds no bytes.

--- a/include/banyanknot/transport/receive_budget.h
+++ b/include/banyanknot/transport/receive_budget.h
@@ -18,10 +18,14 @@
 
   /// \returns false if the bytes would exceed the limit
   bool TryReserve(std::size_t bytes) {
-    if (this->reserved.fetch_add(bytes) + bytes <= this->max_bytes) return true;
-    this->reserved -= bytes;
-    ++this->refusals;
-    return false;
+    std::size_t held = this->reserved;
+    do {
+      if (bytes > this->max_bytes || held > this->max_bytes - bytes) {
+        ++this->refusals;
+        return false;
+      }
+    } while (!this->reserved.compare_exchange_weak(held, held + bytes));
+    return true;
   }
   void Release(std::size_t bytes) { this->reserved -= bytes; }
 
--- a/test/transport/endless_bytes_test.cc
+++ b/test/transport/endless_bytes_test.cc
@@ -3,6 +3,7 @@
 #include <future>
 #include <memory>
 #include <string>
+#include <thread>
 #include <vector>
 
 #include "banyanknot/transport/http_connection_pool.h"
@@ -98,6 +99,33 @@
   }
 }
 
+// Guards against a refused reservation counting for a moment: it was seen above
+// the limit, and others that would fit were refused meanwhile.
+TEST_CASE("A refused reservation is never counted") {
+  ReceiveBudget budget(1'000);
+  std::atomic<bool> is_stopping{false};
+  std::vector<std::thread> threads;
+  for (int index = 0; index < 3; ++index) {
+    threads.emplace_back([&] {
+      while (!is_stopping) budget.TryReserve(1'001);
+    });
+  }
+  std::size_t refused = 0;
+  std::size_t most_reserved = 0;
+  for (int round = 0; round < 200'000; ++round) {
+    most_reserved = std::max(most_reserved, budget.Reserved());
+    if (budget.TryReserve(1'000)) {
+      budget.Release(1'000);
+    } else {
+      ++refused;
+    }
+  }
+  is_stopping = true;
+  for (std::thread& thread : threads) thread.join();
+  CHECK(most_reserved == 0);
+  CHECK(refused == 0);
+}
+
 TEST_CASE("A hundred endless bodies together stay within the budget") {
   constexpr std::size_t kCalls = 100;
   EndlessFixture fixture(
