Refuse responses whose status can't be that of a final answer

Cause: the HTTP library takes any three digits for a status, and nothing asked whether a response with that status can be the final one. With a signature, 000 to 099 and 101 counted as the server's own answer. Such a head was also believed in what it said: not run, leaving, back-off, "declined" from another host, and a passed check of a connection.

Evidence: a stand-in sends statuses 000, 001, 099, 101, 600 and 999 to the edge program. Before: a caller read status 000. With "leaving" the servers, or the one that was checked, were refused for 20 s, where the test ends. Checks of connections passed.

Ruled out: hedges (the other answer won) and the store (such a response was a refusal and changed nothing) were handled already; their tests stay.

Change: a connection fails the call, as lost, when the head of a response has a status that is neither interim nor within 200 to 599. Requests, hedges, parts, other hosts, health, checks and the store all read through it, and lost means that the request may have run.

--- a/src/transport/client_connection.cc
+++ b/src/transport/client_connection.cc
@@ -74,6 +74,14 @@
          response.result() != http::status::switching_protocols;
 }
 
+/// Beast accepts any three digits as a status.
+bool IsFinal(const http::response<http::string_body>& response) {
+  constexpr unsigned kFirstFinalStatus = 200;
+  constexpr unsigned kLastStatus = 599;
+  return response.result_int() >= kFirstFinalStatus &&
+         response.result_int() <= kLastStatus;
+}
+
 TransportError ReadErrorOf(const beast::error_code& error) {
   if (error == beast::error::timeout || error == asio::error::timed_out) {
     return TransportError::kTimeout;
@@ -424,6 +432,12 @@
     handler(error ? error : asio::error::operation_aborted);
     return;
   }
+  // A request never asks for another protocol, so a switch is no response to it.
+  if (this->parser->is_header_done() && !IsInterim(this->parser->get()) &&
+      !IsFinal(this->parser->get())) {
+    handler(http::make_error_code(http::error::bad_status));
+    return;
+  }
   const std::size_t max_received =
       kMaxEncodingFactor * this->MaxBodyBytes() + kMaxBufferedBytes;
   if (this->received_bytes > max_received ||
--- a/test/platform/edge/edge_delegation_test.cc
+++ b/test/platform/edge/edge_delegation_test.cc
@@ -10,6 +10,7 @@
 #include "platform/edge/raw_caller.h"
 #include "platform/edge/raw_server_stand_in.h"
 #include "platform/wire_names.h"
+#include "support/broken_heads.h"
 
 // Runs a small and a roomy edge program side by side: the small one passes its
 // gathers to the roomy one.
@@ -26,6 +27,18 @@
   return std::string(16 - id.size(), '0') + id;
 }
 
+/// Tells an edge of a roomy host of its domain.
+void Advertise(const EdgeProcess& edge, const std::string& host,
+               std::uint16_t port) {
+  standins::BlockingHttpClient client(state::Milliseconds(2'000));
+  const std::string advert =
+      R"({"adverts":[{"id":")" + host +
+      R"(","domain":"a","endpoint":"127.0.0.1:)" + std::to_string(port) +
+      R"(","milli_cores":9000,"takes_work":true,"age_ms":0}]})";
+  REQUIRE(
+      state::IsOk(client.Call(edge.Peers(), "POST", "/fleet/adverts", advert)));
+}
+
 struct DelegationWorld {
   DelegationWorld()
       : roomy("roomy", "a", world.Store().Address(), world.Ports()),
@@ -169,13 +182,7 @@
   fleet.Start();
   small.Start();
   REQUIRE(WaitFor([&small] { return small.IsReady(); }));
-  standins::BlockingHttpClient client(state::Milliseconds(2'000));
-  const std::string advert =
-      R"({"adverts":[{"id":"a-impostor","domain":"a","endpoint":"127.0.0.1:)" +
-      std::to_string(impostor.Port()) +
-      R"(","milli_cores":9000,"takes_work":true,"age_ms":0}]})";
-  REQUIRE(state::IsOk(
-      client.Call(small.Peers(), "POST", "/fleet/adverts", advert)));
+  Advertise(small, "a-impostor", impostor.Port());
   for (int index = 0; index < 20; ++index) {
     RawCaller caller(small.Callers());
     const std::optional<Response> answer =
@@ -231,18 +238,12 @@
   });
   fleet.small.Start();
   REQUIRE(WaitFor([&fleet] { return fleet.small.IsReady(); }));
-  standins::BlockingHttpClient client(state::Milliseconds(2'000));
   int asked = 0;
   for (int index = 0; index < 150; ++index) {
     // A host that failed is left out, so each request gets a new one, of which
     // the first by id are known.
-    const std::string advert =
-        R"({"adverts":[{"id":"a-ending-)" + std::to_string(999 - index) +
-        R"(","domain":"a","endpoint":"127.0.0.1:)" +
-        std::to_string(ending.Port()) +
-        R"(","milli_cores":9000,"takes_work":true,"age_ms":0}]})";
-    REQUIRE(state::IsOk(
-        client.Call(fleet.small.Peers(), "POST", "/fleet/adverts", advert)));
+    Advertise(fleet.small, "a-ending-" + std::to_string(999 - index),
+              ending.Port());
     const std::optional<Response> answer = fleet.Gather();
     INFO(fleet.requests);
     const unsigned status = StatusOf(answer);
@@ -253,6 +254,44 @@
   CHECK(asked > 60);
 }
 
+// Guards against a broken head of another edge's response reaching the caller,
+// or proving that the edge has not started the gather.
+TEST_CASE("A gather is neither answered nor declined by a broken head") {
+  const std::vector<testing::BrokenHead> heads = testing::AllBrokenHeads();
+  DelegationWorld fleet;
+  const RawServerStandIn broken("a-broken", [&heads](const RawRequest& seen) {
+    if (seen.target.rfind("/all/", 0) != 0) {
+      return std::vector<RawStep>{
+          {"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"}};
+    }
+    const std::size_t number = std::stoul(seen.id);
+    std::string fields = std::string(wire::kRequestId) + ": " + seen.id +
+                         "\r\n" + wire::kMissingParts + ": 0\r\n";
+    if (number % 2 == 0) fields += "Banyanknot-Gathered: 1\r\n";
+    return std::vector<RawStep>{
+        {heads[number / 2 % heads.size()].Response(fields, seen.id),
+         state::Milliseconds(2), RawEnd::kClose}};
+  });
+  fleet.small.Start();
+  REQUIRE(WaitFor([&fleet] { return fleet.small.IsReady(); }));
+  std::size_t asked = 0;
+  for (std::size_t index = 0; index < 2 * heads.size(); ++index) {
+    // A host that failed is left out, so each request gets a new one, of which
+    // the first by id are known.
+    Advertise(fleet.small, "a-broken-" + std::to_string(999 - index),
+              broken.Port());
+    const std::optional<Response> answer = fleet.Gather();
+    const std::string id = RequestId(fleet.requests);
+    INFO(heads[std::stoul(id) / 2 % heads.size()].name);
+    if (broken.ReceivedOf(id) == 0) continue;
+    ++asked;
+    REQUIRE(answer);
+    CHECK(answer->result_int() == 502);
+    CHECK(fleet.world.RunsOf(id) == 0);
+  }
+  CHECK(asked == 2 * heads.size());
+}
+
 TEST_CASE("A caller that leaves cancels its gather through both edges") {
   DelegationWorld fleet;
   fleet.Start();
--- a/test/platform/store_source_test.cc
+++ b/test/platform/store_source_test.cc
@@ -12,6 +12,8 @@
 #include "banyanknot/transport/http_server.h"
 #include "banyanknot/transport/io_threads.h"
 #include "banyanknot/transport/steady_clock.h"
+#include "support/broken_heads.h"
+#include "transport/raw_byte_server.h"
 
 namespace banyanknot::platform {
 namespace {
@@ -196,5 +198,30 @@
   }
 }
 
+// Guards against what a broken response says of the store's history or entries
+// being believed.
+TEST_CASE("A response of the store with a broken head says nothing") {
+  for (const testing::BrokenHead& head : testing::AllBrokenHeads()) {
+    INFO(head.name);
+    transport::SteadyClock clock;
+    transport::IoThreads threads{2};
+    const transport::RawByteServer store(
+        threads.Context(),
+        {head.Response("", R"({"events":[],"items":[],"AsOf":4})"), "",
+         std::chrono::milliseconds(0), true});
+    StoreSource source(threads.Context(), clock, store.Address());
+    std::promise<SourceResult> promise;
+    source.ReadAll([&promise](SourceResult result) {
+      promise.set_value(std::move(result));
+    });
+    std::future<SourceResult> future = promise.get_future();
+    REQUIRE(future.wait_for(kTimeout) == std::future_status::ready);
+    const SourceResult result = future.get();
+    REQUIRE_FALSE(state::IsOk(result));
+    CHECK(state::ErrorOf(result) == SourceFailure::kUnreachable);
+    threads.Stop();
+  }
+}
+
 }  // namespace
 }  // namespace banyanknot::platform
--- /dev/null
+++ b/test/transport/broken_heads_test.cc
@@ -0,0 +1,76 @@
+#include "support/broken_heads.h"
+
+#include <catch2/catch.hpp>
+#include <future>
+#include <memory>
+#include <string>
+
+#include "banyanknot/transport/http_connection_pool.h"
+#include "banyanknot/transport/io_threads.h"
+#include "banyanknot/transport/steady_clock.h"
+#include "transport/raw_byte_server.h"
+
+// Servers whose responses have heads that no final answer can have.
+namespace banyanknot::transport {
+namespace {
+
+using state::Milliseconds;
+using testing::AllBrokenHeads;
+using testing::BrokenHead;
+
+constexpr std::chrono::seconds kTestTimeout{20};
+
+/// Calls a server that sends the same bytes on each connection, then closes it.
+HttpCallResult CallOnce(const std::string& bytes, bool is_idempotent,
+                        state::Duration deadline) {
+  SteadyClock clock;
+  IoThreads threads{2};
+  const RawByteServer server(threads.Context(),
+                             {bytes, "", std::chrono::milliseconds(0), true});
+  HttpPoolOptions options;
+  options.check_target = "/check";
+  HttpConnectionPool pool(threads.Context(), clock, server.Address(),
+                          std::move(options));
+  HttpCall call(AcceptAnyResponse);
+  call.request = {"GET", "/call", ""};
+  call.deadline = clock.Now() + deadline;
+  call.send_before = call.deadline;
+  call.is_idempotent = is_idempotent;
+  std::promise<HttpCallResult> promise;
+  pool.Call(std::move(call), [&promise](HttpCallResult result) {
+    promise.set_value(std::move(result));
+  });
+  std::future<HttpCallResult> future = promise.get_future();
+  REQUIRE(future.wait_for(kTestTimeout) == std::future_status::ready);
+  threads.Stop();
+  return future.get();
+}
+
+TEST_CASE("A response with a broken head is reported as lost") {
+  REQUIRE(state::IsOk(CallOnce(BrokenHead().Response("X-Sound: 1\r\n", "whole"),
+                               true, Milliseconds(10'000))));
+  for (const BrokenHead& head : AllBrokenHeads()) {
+    INFO(head.name);
+    const HttpCallResult result = CallOnce(
+        head.Response("X-Sound: 1\r\n", "whole"), true, Milliseconds(10'000));
+    REQUIRE_FALSE(state::IsOk(result));
+    CHECK(state::ErrorOf(result) == TransportError::kLost);
+  }
+}
+
+TEST_CASE("A response with a broken head passes no check of a connection") {
+  // A call that is not idempotent is sent only after a check.
+  for (const BrokenHead& head : AllBrokenHeads()) {
+    INFO(head.name);
+    const HttpCallResult result =
+        CallOnce(head.Response("", ""), false, Milliseconds(200));
+    REQUIRE_FALSE(state::IsOk(result));
+    // No byte of the call was written.
+    const TransportError error = state::ErrorOf(result);
+    CHECK((error == TransportError::kExpired ||
+           error == TransportError::kConnect));
+  }
+}
+
+}  // namespace
+}  // namespace banyanknot::transport
--- a/test/transport/raw_byte_server.h
+++ b/test/transport/raw_byte_server.h
@@ -1,6 +1,7 @@
 #ifndef BANYANKNOT_TEST_TRANSPORT_RAW_BYTE_SERVER_H_
 #define BANYANKNOT_TEST_TRANSPORT_RAW_BYTE_SERVER_H_
 
+#include <array>
 #include <atomic>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -22,6 +23,7 @@
   std::string repeat;  ///< then sent without end, until the client closes
   /// Between two repetitions.
   std::chrono::milliseconds pause{0};
+  bool closes = false;  ///< after the first bytes
 };
 
 /// \brief Sends fixed bytes on each connection, whatever the client sends.
@@ -78,10 +80,16 @@
       this->socket.async_wait(tcp::socket::wait_read,
                               [self = this->shared_from_this()](
                                   const boost::system::error_code& error) {
-                                if (!error)
-                                  self->Write(self->server->bytes.first);
+                                if (!error) self->WriteFirst();
                               });
     }
+    void WriteFirst() {
+      // Unread input would turn a close into a reset.
+      std::array<char, 4096> request;
+      boost::system::error_code ignored;
+      this->socket.read_some(boost::asio::buffer(request), ignored);
+      this->Write(this->server->bytes.first);
+    }
     void Write(const std::string& bytes) {
       boost::asio::async_write(
           this->socket, boost::asio::buffer(bytes),
@@ -96,6 +104,11 @@
           });
     }
     void WriteMore() {
+      if (this->server->bytes.closes) {
+        boost::system::error_code ignored;
+        this->socket.shutdown(tcp::socket::shutdown_send, ignored);
+        return;
+      }
       if (this->server->bytes.repeat.empty()) return;
       if (this->server->bytes.pause.count() == 0) {
         this->Write(this->server->bytes.repeat);
