Test response heads whose field lines are ill-formed

Reported by other operators: a client got an answer in whose head the name of a field held a blank or a control byte, with that line passed on or with a body that was not the server's.

Here the HTTP parser refuses such a head. All passed before any change.

--- a/test/transport/broken_heads_test.cc
+++ b/test/transport/broken_heads_test.cc
@@ -63,7 +63,7 @@
   for (const BrokenHead& head : AllBrokenHeads()) {
     INFO(head.name);
     const HttpCallResult result =
-        CallOnce(head.Response("", ""), false, Milliseconds(200));
+        CallOnce(head.Response("X-Sound: 1\r\n", ""), false, Milliseconds(200));
     REQUIRE_FALSE(state::IsOk(result));
     // No byte of the call was written.
     const TransportError error = state::ErrorOf(result);
