Read responses in a class of their own

No change of behaviour. ClientConnection kept the state of the parser beside that of the call and of the pool. ResponseReader reads one final response after the other from a stream and is the one place that judges what has arrived; the parser is driven from the received bytes, so that a head can be examined before it is parsed. The examination of request heads, soon shared with responses, moves from request_head to message_head.

--- a/src/transport/client_connection.cc
+++ b/src/transport/client_connection.cc
@@ -11,8 +11,10 @@
 #include <boost/beast/core.hpp>
 #include <charconv>
 #include <optional>
+#include <string_view>
 #include <utility>
 
+#include "banyanknot/protocol/hop_headers.h"
 #include "transport/connect_from.h"
 #include "transport/http_convert.h"
 
@@ -26,16 +28,6 @@
 namespace {
 
 constexpr std::size_t kMaxCheckResponseBytes = 1u << 20;
-/// Several times the size of the header that servers send.
-constexpr std::uint32_t kMaxResponseHeaderBytes = 64u << 10;
-/// Of unparsed input: a whole header, and the rest of a read after it. Also
-/// bounds chunk extensions, which have no limit of their own.
-constexpr std::size_t kMaxBufferedBytes = 80u << 10;
-/// Bytes received for each byte of a body at its limit, in chunks with
-/// extensions.
-constexpr std::size_t kMaxEncodingFactor = 2;
-/// Interim (1xx) heads before a response.
-constexpr unsigned kMaxInterimHeads = 8;
 /// Responses to other calls that are discarded before one is given up.
 constexpr unsigned kMaxMisplacedResponses = 8;
 /// Longer announced idle timeouts count as this one.
@@ -52,12 +44,13 @@
 /// Parses `Keep-Alive: timeout=SECONDS` and subtracts the margin.
 /// \returns nothing if the header has no readable timeout
 std::optional<state::Duration> ParseKeepAliveTimeout(
-    const http::response<http::string_body>& response) {
-  constexpr beast::string_view kTimeout = "timeout=";
+    const protocol::HttpResponse& response) {
+  constexpr std::string_view kTimeout = "timeout=";
   constexpr std::int64_t kMillisecondsPerSecond = 1'000;
-  const beast::string_view text = response[http::field::keep_alive];
+  const std::string_view text =
+      protocol::HeaderValue(response.headers, "Keep-Alive");
   const std::size_t at = text.find(kTimeout);
-  if (at == beast::string_view::npos) return std::nullopt;
+  if (at == std::string_view::npos) return std::nullopt;
   std::int64_t seconds = 0;
   const std::from_chars_result parsed = std::from_chars(
       text.data() + at + kTimeout.size(), text.data() + text.size(), seconds);
@@ -68,20 +61,6 @@
                   state::Duration(0));
 }
 
-bool IsInterim(const http::response<http::string_body>& response) {
-  return http::to_status_class(response.result_int()) ==
-             http::status_class::informational &&
-         response.result() != http::status::switching_protocols;
-}
-
-/// Beast accepts any three digits as a status.
-bool IsFinal(const http::response<http::string_body>& response) {
-  constexpr unsigned kFirstFinalStatus = 200;
-  constexpr unsigned kLastStatus = 599;
-  return response.result_int() >= kFirstFinalStatus &&
-         response.result_int() <= kLastStatus;
-}
-
 TransportError ReadErrorOf(const beast::error_code& error) {
   if (error == beast::error::timeout || error == asio::error::timed_out) {
     return TransportError::kTimeout;
@@ -105,8 +84,7 @@
     : pool(std::move(pool)),
       stream(asio::make_strand(this->pool->context)),
       timer(this->stream.get_executor()),
-      buffer(kMaxBufferedBytes),
-      reservation(this->pool->options.receive_budget) {}
+      reader(this->stream, this->pool->options.receive_budget) {}
 
 bool ClientConnection::IsRecentlyActive(state::TimePoint now) const {
   return this->pool->options.check_target.empty() ||
@@ -277,7 +255,7 @@
 
 void ClientConnection::OnChecked(const beast::error_code& error) {
   // Bytes after the response would be read as that to the next call.
-  if (error || !this->parser->keep_alive() || this->buffer.size() > 0) {
+  if (error || !this->reader.IsKeptAlive() || this->reader.HasMoreBytes()) {
     this->CloseNow();
     if (this->current != nullptr) this->Reassign();
     return;
@@ -396,69 +374,12 @@
       });
 }
 
-void ClientConnection::ReadResponse(ReadHandler handler) {
-  this->interim_heads = 0;
-  this->received_bytes = 0;
-  this->StartParser();
-  this->ReadSome(std::move(handler));
-}
-
-std::size_t ClientConnection::MaxBodyBytes() const {
-  return this->current == nullptr ? kMaxCheckResponseBytes
-                                  : this->current->call.max_response_bytes;
-}
-
-void ClientConnection::StartParser() {
-  this->parser.emplace();
-  this->parser->body_limit(this->MaxBodyBytes());
-  this->parser->header_limit(kMaxResponseHeaderBytes);
-  this->parser->skip(this->request.method() == http::verb::head);
-}
-
-void ClientConnection::ReadSome(ReadHandler handler) {
-  http::async_read_some(
-      this->stream, this->buffer, *this->parser,
-      [self = this->shared_from_this(), handler = std::move(handler)](
-          const beast::error_code& error, std::size_t bytes) mutable {
-        self->received_bytes += bytes;
-        self->OnSomeRead(error, std::move(handler));
-      });
-}
-
-void ClientConnection::OnSomeRead(const beast::error_code& error,
-                                  ReadHandler handler) {
-  // The connection may have been closed after these bytes arrived.
-  if (error || this->is_closed) {
-    handler(error ? error : asio::error::operation_aborted);
-    return;
-  }
-  // A request never asks for another protocol, so a switch is no response to it.
-  if (this->parser->is_header_done() && !IsInterim(this->parser->get()) &&
-      !IsFinal(this->parser->get())) {
-    handler(http::make_error_code(http::error::bad_status));
-    return;
-  }
-  const std::size_t max_received =
-      kMaxEncodingFactor * this->MaxBodyBytes() + kMaxBufferedBytes;
-  if (this->received_bytes > max_received ||
-      !this->reservation.TryGrowTo(this->parser->get().body().size())) {
-    handler(http::make_error_code(http::error::body_limit));
-    return;
-  }
-  if (!this->parser->is_done()) {
-    this->ReadSome(std::move(handler));
-    return;
-  }
-  if (!IsInterim(this->parser->get())) {
-    handler(error);
-    return;
-  }
-  if (++this->interim_heads > kMaxInterimHeads) {
-    handler(http::make_error_code(http::error::header_limit));
-    return;
-  }
-  this->StartParser();
-  this->ReadSome(std::move(handler));
+void ClientConnection::ReadResponse(ResponseReader::Handler handler) {
+  const std::size_t max_body_bytes =
+      this->current == nullptr ? kMaxCheckResponseBytes
+                               : this->current->call.max_response_bytes;
+  this->reader.Read(max_body_bytes, this->request.method() != http::verb::head,
+                    std::move(handler));
 }
 
 void ClientConnection::OnRead(const beast::error_code& error) {
@@ -470,16 +391,14 @@
   const state::TimePoint now = this->pool->clock.Now();
   this->last_reply_at = now.time_since_epoch().count();
   this->pool->RecordReply(now);
-  const bool keep_alive = this->parser->keep_alive();
-  const std::optional<state::Duration> idle_timeout =
-      ParseKeepAliveTimeout(this->parser->get());
-  protocol::HttpResponse response = FromBeast(this->parser->release());
-  this->reservation.Clear();
+  const bool keep_alive = this->reader.IsKeptAlive();
+  protocol::HttpResponse response = this->reader.TakeResponse();
+  this->reader.ReleaseBudget();
   if (!this->current->call.is_answer(response)) {
     this->OnMisplacedResponse(keep_alive);
     return;
   }
-  this->advertised_idle_timeout = idle_timeout;
+  this->advertised_idle_timeout = ParseKeepAliveTimeout(response);
   const std::shared_ptr<PendingCall> finished = std::move(this->current);
   this->is_written = false;
   if (this->is_silent && this->pool->TryReacquireSlot()) {
@@ -487,7 +406,7 @@
   }
   // Extra bytes after a complete reply belong to no call, and a server that has
   // sent an extra response may send more.
-  if (!keep_alive || this->is_silent || this->buffer.size() > 0 ||
+  if (!keep_alive || this->is_silent || this->reader.HasMoreBytes() ||
       this->misplaced_responses > 0) {
     this->CloseNow();
   } else {
@@ -567,7 +486,7 @@
 void ClientConnection::CloseNow() {
   if (this->is_closed) return;
   this->is_closed = true;
-  this->reservation.Clear();
+  this->reader.ReleaseBudget();
   beast::error_code ignored;
   this->timer.cancel();
   this->stream.socket().close(ignored);
--- a/src/transport/client_connection.h
+++ b/src/transport/client_connection.h
@@ -3,7 +3,6 @@
 
 #include <atomic>
 #include <boost/asio/steady_timer.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
 #include <memory>
@@ -11,6 +10,7 @@
 
 #include "transport/pending_call.h"
 #include "transport/pool_core.h"
+#include "transport/response_reader.h"
 
 namespace banyanknot::transport::internal {
 
@@ -70,12 +70,7 @@
   void CloseNow();
   bool IsClosedByServer();
   TransportError ConnectError(const boost::beast::error_code& error) const;
-  using ReadHandler = std::function<void(const boost::beast::error_code&)>;
-  void ReadResponse(ReadHandler handler);
-  std::size_t MaxBodyBytes() const;
-  void StartParser();
-  void ReadSome(ReadHandler handler);
-  void OnSomeRead(const boost::beast::error_code& error, ReadHandler handler);
+  void ReadResponse(ResponseReader::Handler handler);
 
   const std::shared_ptr<PoolCore> pool;
   boost::beast::tcp_stream stream;
@@ -85,15 +80,9 @@
   std::optional<state::TimePoint> timer_at;
   state::TimePoint written_at;  // of the current call
   bool is_written = false;
-  boost::beast::flat_buffer buffer;
+  ResponseReader reader;
   boost::beast::http::request<boost::beast::http::string_body> request;
-  std::optional<
-      boost::beast::http::response_parser<boost::beast::http::string_body>>
-      parser;
-  unsigned interim_heads = 0;        // 1xx, of the current response
   unsigned misplaced_responses = 0;  // discarded for the current call
-  std::size_t received_bytes = 0;    // of the current response, on the wire
-  ReceiveReservation reservation;
   std::shared_ptr<PendingCall> current;
   std::atomic<state::Duration::rep> last_reply_at{0};
   // From the server's Keep-Alive header, less a margin.
--- a/src/transport/request_head.cc
+++ b/src/transport/message_head.cc
@@ -1,4 +1,4 @@
-#include "transport/request_head.h"
+#include "transport/message_head.h"
 
 #include <boost/beast/core/string.hpp>
 
--- a/src/transport/request_head.h
+++ b/src/transport/message_head.h
@@ -1,5 +1,5 @@
-#ifndef BANYANKNOT_SRC_TRANSPORT_REQUEST_HEAD_H_
-#define BANYANKNOT_SRC_TRANSPORT_REQUEST_HEAD_H_
+#ifndef BANYANKNOT_SRC_TRANSPORT_MESSAGE_HEAD_H_
+#define BANYANKNOT_SRC_TRANSPORT_MESSAGE_HEAD_H_
 
 #include <boost/beast/http/fields.hpp>
 #include <cstddef>
@@ -28,4 +28,4 @@
 
 }  // namespace banyanknot::transport::internal
 
-#endif  // BANYANKNOT_SRC_TRANSPORT_REQUEST_HEAD_H_
+#endif  // BANYANKNOT_SRC_TRANSPORT_MESSAGE_HEAD_H_
--- /dev/null
+++ b/src/transport/response_reader.cc
@@ -0,0 +1,167 @@
+#include "transport/response_reader.h"
+
+#include <algorithm>
+#include <boost/asio/error.hpp>
+#include <boost/beast/core/read_size.hpp>
+#include <boost/beast/http/error.hpp>
+#include <boost/beast/http/status.hpp>
+#include <utility>
+
+#include "transport/http_convert.h"
+
+namespace banyanknot::transport::internal {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+
+namespace {
+
+/// Several times the size of the header that servers send.
+constexpr std::uint32_t kMaxHeaderBytes = 64u << 10;
+/// Of unparsed input: a whole header, and the rest of a read after it. Also
+/// bounds chunk extensions, which have no limit of their own.
+constexpr std::size_t kMaxBufferedBytes = 80u << 10;
+constexpr std::size_t kMaxReadBytes = 64u << 10;
+/// Bytes received for each byte of a body at its limit, in chunks with
+/// extensions.
+constexpr std::size_t kMaxEncodingFactor = 2;
+/// Interim (1xx) heads before a response.
+constexpr unsigned kMaxInterimHeads = 8;
+
+bool IsInterim(const http::response<http::string_body>& response) {
+  return http::to_status_class(response.result_int()) ==
+             http::status_class::informational &&
+         response.result() != http::status::switching_protocols;
+}
+
+/// Beast accepts any three digits as a status.
+bool IsFinal(const http::response<http::string_body>& response) {
+  constexpr unsigned kFirstFinalStatus = 200;
+  constexpr unsigned kLastStatus = 599;
+  return response.result_int() >= kFirstFinalStatus &&
+         response.result_int() <= kLastStatus;
+}
+
+}  // namespace
+
+ResponseReader::ResponseReader(beast::tcp_stream& stream,
+                               std::shared_ptr<ReceiveBudget> budget)
+    : stream(stream),
+      buffer(kMaxBufferedBytes),
+      reservation(std::move(budget)) {}
+
+void ResponseReader::Read(std::size_t max_body_bytes, bool has_body,
+                          Handler handler) {
+  this->max_body_bytes = max_body_bytes;
+  this->has_body = has_body;
+  this->interim_heads = 0;
+  this->received_bytes = 0;
+  this->StartParser();
+  this->Parse(std::move(handler));
+}
+
+protocol::HttpResponse ResponseReader::TakeResponse() {
+  return FromBeast(this->parser->release());
+}
+
+void ResponseReader::StartParser() {
+  this->parser.emplace();
+  this->parser->body_limit(this->max_body_bytes);
+  this->parser->header_limit(kMaxHeaderBytes);
+  this->parser->skip(!this->has_body);
+}
+
+void ResponseReader::Parse(Handler handler) {
+  while (this->buffer.size() > 0) {
+    const beast::error_code error = this->ParseNext();
+    if (error == http::error::need_more) break;
+    if (error || this->parser->is_done()) {
+      handler(error);
+      return;
+    }
+  }
+  this->ReadMore(std::move(handler));
+}
+
+/// Parses a head or what has arrived of a body.
+/// \returns need_more if too little has arrived
+beast::error_code ResponseReader::ParseNext() {
+  const bool had_head = this->parser->is_header_done();
+  beast::error_code error;
+  this->buffer.consume(this->parser->put(this->buffer.data(), error));
+  if (!error && !had_head) error = this->CheckHead();
+  if (!error || error == http::error::need_more) {
+    const beast::error_code exceeded = this->CheckLimits();
+    if (exceeded) return exceeded;
+  }
+  return error;
+}
+
+/// Discards the head of an interim response.
+beast::error_code ResponseReader::CheckHead() {
+  const http::response<http::string_body>& response = this->parser->get();
+  if (IsInterim(response)) {
+    if (++this->interim_heads > kMaxInterimHeads) {
+      return http::make_error_code(http::error::header_limit);
+    }
+    this->StartParser();
+    return {};
+  }
+  // A request never asks for another protocol, so a switch is no response to
+  // it.
+  if (!IsFinal(response)) return http::make_error_code(http::error::bad_status);
+  return {};
+}
+
+beast::error_code ResponseReader::CheckLimits() {
+  const std::size_t max_received =
+      kMaxEncodingFactor * this->max_body_bytes + kMaxBufferedBytes;
+  if (this->received_bytes > max_received ||
+      !this->reservation.TryGrowTo(this->parser->get().body().size())) {
+    return http::make_error_code(http::error::body_limit);
+  }
+  return {};
+}
+
+void ResponseReader::ReadMore(Handler handler) {
+  const std::size_t size = beast::read_size(this->buffer, kMaxReadBytes);
+  if (size == 0) {
+    handler(http::make_error_code(http::error::buffer_overflow));
+    return;
+  }
+  this->stream.async_read_some(
+      this->buffer.prepare(size),
+      [this, handler = std::move(handler)](const beast::error_code& error,
+                                           std::size_t bytes) mutable {
+        this->OnBytes(error, bytes, std::move(handler));
+      });
+}
+
+void ResponseReader::OnBytes(const beast::error_code& error, std::size_t bytes,
+                             Handler handler) {
+  if (error) {
+    handler(error == asio::error::eof ? this->EndStream() : error);
+    return;
+  }
+  this->buffer.commit(bytes);
+  this->received_bytes += bytes;
+  // The connection may have been closed after these bytes arrived.
+  if (!this->stream.socket().is_open()) {
+    handler(asio::error::operation_aborted);
+    return;
+  }
+  this->Parse(std::move(handler));
+}
+
+/// Completes a response whose body ends with the connection.
+beast::error_code ResponseReader::EndStream() {
+  if (!this->parser->got_some()) {
+    return http::make_error_code(http::error::end_of_stream);
+  }
+  beast::error_code error;
+  this->parser->put_eof(error);
+  return error;
+}
+
+}  // namespace banyanknot::transport::internal
--- a/src/transport/server_connection.cc
+++ b/src/transport/server_connection.cc
@@ -9,7 +9,7 @@
 #include <string_view>
 
 #include "transport/http_convert.h"
-#include "transport/request_head.h"
+#include "transport/message_head.h"
 
 namespace banyanknot::transport::internal {
 
