Refuse responses with folded fields

Found while testing the report of a blank or control byte in the name of a field.

Cause: a line that begins with a blank or a tab continues the field before it, in an obsolete form that the parser undoes by joining the two. Request heads were examined for it, response heads were not.

Change: the reader refuses the response, as lost, before the parser takes the bytes. RFC 9112 lets a gateway discard such a response.

A sound head is accepted, and a folded one refused, wherever it is cut on its way.

--- a/src/transport/message_head.cc
+++ b/src/transport/message_head.cc
@@ -21,6 +21,18 @@
   return is_over ? HeadState::kComplete : HeadState::kIncomplete;
 }
 
+bool HasFoldedField(std::string_view unparsed) {
+  constexpr std::string_view kLineEnd = "\r\n";
+  for (std::size_t line = 0; line < unparsed.size();) {
+    if (unparsed[line] == ' ' || unparsed[line] == '\t') return true;
+    if (unparsed.substr(line, kLineEnd.size()) == kLineEnd) break;
+    const std::size_t end = unparsed.find('\n', line);
+    if (end == std::string_view::npos) break;
+    line = end + 1;
+  }
+  return false;
+}
+
 bool HasUnambiguousLength(const http::fields& header) {
   const auto encodings = header.equal_range(http::field::transfer_encoding);
   if (encodings.first == encodings.second) return true;
--- a/src/transport/message_head.h
+++ b/src/transport/message_head.h
@@ -21,6 +21,12 @@
 /// lines.
 HeadState ExamineHead(std::string_view bytes, std::size_t max_header_bytes);
 
+/// \brief Tells whether a field continues on a second line in a head that a
+/// parser consumes line by line.
+/// \param unparsed the bytes of the head that are not consumed yet, and maybe
+///     some of the body
+bool HasFoldedField(std::string_view unparsed);
+
 /// \brief Tells whether the body length is unambiguous to all HTTP
 /// implementations: no Transfer-Encoding, or chunked alone and no
 /// Content-Length.
--- a/src/transport/response_reader.cc
+++ b/src/transport/response_reader.cc
@@ -5,9 +5,11 @@
 #include <boost/beast/core/read_size.hpp>
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/status.hpp>
+#include <string_view>
 #include <utility>
 
 #include "transport/http_convert.h"
+#include "transport/message_head.h"
 
 namespace banyanknot::transport::internal {
 
@@ -88,6 +90,10 @@
 /// \returns need_more if too little has arrived
 beast::error_code ResponseReader::ParseNext() {
   const bool had_head = this->parser->is_header_done();
+  // The parser would join a folded field and the line before it.
+  if (!had_head && HasFoldedField(this->BufferedBytes())) {
+    return http::make_error_code(http::error::bad_field);
+  }
   beast::error_code error;
   this->buffer.consume(this->parser->put(this->buffer.data(), error));
   if (!error && !had_head) error = this->CheckHead();
@@ -98,6 +104,11 @@
   return error;
 }
 
+std::string_view ResponseReader::BufferedBytes() const {
+  const boost::asio::const_buffer bytes = this->buffer.data();
+  return {static_cast<const char*>(bytes.data()), bytes.size()};
+}
+
 /// Discards the head of an interim response.
 beast::error_code ResponseReader::CheckHead() {
   const http::response<http::string_body>& response = this->parser->get();
--- a/src/transport/response_reader.h
+++ b/src/transport/response_reader.h
@@ -10,6 +10,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <string_view>
 
 #include "banyanknot/protocol/http_message.h"
 #include "banyanknot/transport/receive_budget.h"
@@ -58,6 +59,7 @@
   void StartParser();
   void Parse(Handler handler);
   boost::beast::error_code ParseNext();
+  std::string_view BufferedBytes() const;
   boost::beast::error_code CheckHead();
   boost::beast::error_code CheckLimits();
   void ReadMore(Handler handler);
--- a/test/support/broken_heads.h
+++ b/test/support/broken_heads.h
@@ -53,6 +53,10 @@
        false},
       {"control byte in the name of the length", "200 OK",
        "Content\x0bLength: 5\r\n", false},
+      {"blank before a name", "200 OK", " X-Odd: 1\r\n"},
+      {"tab before a name", "200 OK", "\tX-Odd: 1\r\n"},
+      {"blank before the name of the length", "200 OK",
+       " Content-Length: 5\r\n", false},
   };
 }
 
--- a/test/transport/broken_heads_test.cc
+++ b/test/transport/broken_heads_test.cc
@@ -20,13 +20,17 @@
 
 constexpr std::chrono::seconds kTestTimeout{20};
 
-/// Calls a server that sends the same bytes on each connection, then closes it.
+/// Calls a server that sends the same bytes on each connection, in two pieces
+/// cut at `cut`, then closes it.
 HttpCallResult CallOnce(const std::string& bytes, bool is_idempotent,
-                        state::Duration deadline) {
+                        state::Duration deadline,
+                        std::size_t cut = std::string::npos) {
   SteadyClock clock;
   IoThreads threads{2};
-  const RawByteServer server(threads.Context(),
-                             {bytes, "", std::chrono::milliseconds(0), true});
+  const RawByteServer server(
+      threads.Context(),
+      {bytes.substr(0, cut), cut < bytes.size() ? bytes.substr(cut) : "",
+       std::chrono::milliseconds(2), true});
   HttpPoolOptions options;
   options.check_target = "/check";
   HttpConnectionPool pool(threads.Context(), clock, server.Address(),
@@ -58,6 +62,25 @@
   }
 }
 
+TEST_CASE("A head is judged alike wherever it is cut on its way") {
+  // A body may have lines that begin with a blank.
+  const std::string body = "\r\n \r\n\t \r\n";
+  const std::string sound = BrokenHead().Response("X-Sound: a  b\r\n", body);
+  const std::string folded =
+      BrokenHead().Response("X-Sound: a\r\n b\r\n", body);
+  for (std::size_t cut = 1; cut < sound.size(); ++cut) {
+    INFO(cut);
+    const HttpCallResult result =
+        CallOnce(sound, true, Milliseconds(10'000), cut);
+    REQUIRE(state::IsOk(result));
+    CHECK(state::ValueOf(result).body == body);
+  }
+  for (std::size_t cut = 1; cut < folded.size(); ++cut) {
+    INFO(cut);
+    CHECK_FALSE(state::IsOk(CallOnce(folded, true, Milliseconds(10'000), cut)));
+  }
+}
+
 TEST_CASE("A response with a broken head passes no check of a connection") {
   // A call that is not idempotent is sent only after a check.
   for (const BrokenHead& head : AllBrokenHeads()) {
--- a/test/transport/raw_byte_server.h
+++ b/test/transport/raw_byte_server.h
@@ -23,7 +23,7 @@
   std::string repeat;  ///< then sent without end, until the client closes
   /// Between two repetitions.
   std::chrono::milliseconds pause{0};
-  bool closes = false;  ///< after the first bytes
+  bool closes = false;  ///< after sending `first` and `repeat` once
 };
 
 /// \brief Sends fixed bytes on each connection, whatever the client sends.
@@ -104,12 +104,14 @@
           });
     }
     void WriteMore() {
-      if (this->server->bytes.closes) {
+      const RawBytes& bytes = this->server->bytes;
+      if (bytes.closes && (bytes.repeat.empty() || this->has_repeated)) {
         boost::system::error_code ignored;
         this->socket.shutdown(tcp::socket::shutdown_send, ignored);
         return;
       }
-      if (this->server->bytes.repeat.empty()) return;
+      if (bytes.repeat.empty()) return;
+      this->has_repeated = true;
       if (this->server->bytes.pause.count() == 0) {
         this->Write(this->server->bytes.repeat);
         return;
@@ -124,6 +126,7 @@
     const std::shared_ptr<Shared> server;
     tcp::socket socket;
     boost::asio::steady_timer timer;
+    bool has_repeated = false;
   };
 
   const std::shared_ptr<Shared> shared;
