Leave the fields of a trailer out of the head

Callers got 503 for requests that had run, and the servers that ran them were not used again, where an answer in chunks ends with a trailer that says "not run" or "leaving" (REFUSED). Found by looking at where heads are read.

Cause: the parser adds the fields of a trailer to those of the head, and the response was converted after its body.

Ruled out: a length or a transfer coding in a trailer is refused by the parser.

Change: the head is converted when it is complete, before the body. Trailers are dropped; they say nothing that may change what the head said.

Test "A trailer says nothing of the request or of its server": before, no request was served for 20 s, where it stopped; now passes. All transport tests and those of broken heads pass.

--- a/src/transport/http_convert.cc
+++ b/src/transport/http_convert.cc
@@ -39,12 +39,11 @@
   return converted;
 }
 
-protocol::HttpResponse FromBeast(http::response<http::string_body> response) {
+protocol::HttpResponse FromBeast(const http::response_header<>& head) {
   protocol::HttpResponse converted;
-  converted.status = response.result_int();
-  converted.content_type = std::string(response[http::field::content_type]);
-  converted.headers = HeadersOf(response);
-  converted.body = std::move(response.body());
+  converted.status = head.result_int();
+  converted.content_type = std::string(head[http::field::content_type]);
+  converted.headers = HeadersOf(head);
   return converted;
 }
 
--- a/src/transport/http_convert.h
+++ b/src/transport/http_convert.h
@@ -12,9 +12,9 @@
 protocol::HttpRequest FromBeast(
     boost::beast::http::request<boost::beast::http::string_body> request);
 
-/// \brief Converts a Beast response.
+/// \brief Converts the head of a Beast response; the body is left empty.
 protocol::HttpResponse FromBeast(
-    boost::beast::http::response<boost::beast::http::string_body> response);
+    const boost::beast::http::response_header<>& head);
 
 /// \brief Converts a request to Beast. One without headers gets Host (`host`)
 /// and the content type application/json.
--- a/src/transport/response_reader.cc
+++ b/src/transport/response_reader.cc
@@ -31,18 +31,18 @@
 /// Interim (1xx) heads before a response.
 constexpr unsigned kMaxInterimHeads = 8;
 
-bool IsInterim(const http::response<http::string_body>& response) {
-  return http::to_status_class(response.result_int()) ==
+bool IsInterim(const http::response_header<>& head) {
+  return http::to_status_class(head.result_int()) ==
              http::status_class::informational &&
-         response.result() != http::status::switching_protocols;
+         head.result() != http::status::switching_protocols;
 }
 
 /// Beast accepts any three digits as a status.
-bool IsFinal(const http::response<http::string_body>& response) {
+bool IsFinal(const http::response_header<>& head) {
   constexpr unsigned kFirstFinalStatus = 200;
   constexpr unsigned kLastStatus = 599;
-  return response.result_int() >= kFirstFinalStatus &&
-         response.result_int() <= kLastStatus;
+  return head.result_int() >= kFirstFinalStatus &&
+         head.result_int() <= kLastStatus;
 }
 
 }  // namespace
@@ -64,7 +64,8 @@
 }
 
 protocol::HttpResponse ResponseReader::TakeResponse() {
-  return FromBeast(this->parser->release());
+  this->response.body = std::move(this->parser->get().body());
+  return std::move(this->response);
 }
 
 void ResponseReader::StartParser() {
@@ -96,7 +97,7 @@
   }
   beast::error_code error;
   this->buffer.consume(this->parser->put(this->buffer.data(), error));
-  if (!error && !had_head) error = this->CheckHead();
+  if (!error && !had_head) error = this->TakeHead();
   if (!error || error == http::error::need_more) {
     const beast::error_code exceeded = this->CheckLimits();
     if (exceeded) return exceeded;
@@ -109,10 +110,10 @@
   return {static_cast<const char*>(bytes.data()), bytes.size()};
 }
 
-/// Discards the head of an interim response.
-beast::error_code ResponseReader::CheckHead() {
-  const http::response<http::string_body>& response = this->parser->get();
-  if (IsInterim(response)) {
+/// Discards the head of an interim response, and keeps that of a final one.
+beast::error_code ResponseReader::TakeHead() {
+  const http::response_header<>& head = this->parser->get();
+  if (IsInterim(head)) {
     if (++this->interim_heads > kMaxInterimHeads) {
       return http::make_error_code(http::error::header_limit);
     }
@@ -121,15 +122,17 @@
   }
   // A request never asks for another protocol, so a switch is no response to
   // it.
-  if (!IsFinal(response)) return http::make_error_code(http::error::bad_status);
-  if (!HasUnambiguousLength(response)) {
+  if (!IsFinal(head)) return http::make_error_code(http::error::bad_status);
+  if (!HasUnambiguousLength(head)) {
     return http::make_error_code(http::error::bad_transfer_encoding);
   }
   const bool announces_body =
       this->parser->chunked() || this->parser->content_length().value_or(0) > 0;
-  if (response.result() == http::status::no_content && announces_body) {
+  if (head.result() == http::status::no_content && announces_body) {
     return http::make_error_code(http::error::bad_content_length);
   }
+  // The parser adds the fields of a trailer to those of the head.
+  this->response = FromBeast(head);
   return {};
 }
 
--- a/src/transport/response_reader.h
+++ b/src/transport/response_reader.h
@@ -60,7 +60,7 @@
   void Parse(Handler handler);
   boost::beast::error_code ParseNext();
   std::string_view BufferedBytes() const;
-  boost::beast::error_code CheckHead();
+  boost::beast::error_code TakeHead();
   boost::beast::error_code CheckLimits();
   void ReadMore(Handler handler);
   void OnBytes(const boost::beast::error_code& error, std::size_t bytes,
@@ -70,6 +70,7 @@
   boost::beast::tcp_stream& stream;
   boost::beast::flat_buffer buffer;
   std::optional<Parser> parser;
+  protocol::HttpResponse response;  // its head; the body is in the parser
   std::size_t max_body_bytes = 0;
   bool has_body = true;
   unsigned interim_heads = 0;      // before the current response
--- a/test/platform/edge/edge_broken_heads_test.cc
+++ b/test/platform/edge/edge_broken_heads_test.cc
@@ -212,5 +212,50 @@
   }
 }
 
+/// Responds in one chunk. What the id of a request names stands in a trailer:
+/// `claims-*` what LinesOf() has, `late-*` the id itself.
+std::vector<RawStep> ReactWithTrailers(const std::string& server,
+                                       const RawRequest& seen) {
+  if (RawServerStandIn::IsHealthCheck(seen)) {
+    return {{RawServerStandIn::Health(server)}};
+  }
+  const std::string id_line =
+      std::string(wire::kRequestId) + ": " + seen.id + "\r\n";
+  const bool is_late = seen.id.rfind("late-", 0) == 0;
+  const std::string trailers = is_late ? id_line : LinesOf(Claim::kAll);
+  std::string bytes = "HTTP/1.1 200 OK\r\n" + (is_late ? "" : id_line) +
+                      wire::kSignature + ": " + server + "/" + seen.id +
+                      "\r\nTransfer-Encoding: chunked\r\n\r\n10\r\n" + seen.id +
+                      "\r\n0\r\n" + trailers + "\r\n";
+  return {{std::move(bytes), state::Duration(0), RawEnd::kGoOn}};
+}
+
+// Guards against the trailer of a response counting as part of its head, which
+// was judged before.
+TEST_CASE("A trailer says nothing of the request or of its server") {
+  EdgeWorld world;
+  std::vector<std::unique_ptr<RawServerStandIn>> servers;
+  for (const char* id : {"d1", "d2"}) {
+    servers.push_back(std::make_unique<RawServerStandIn>(
+        id, [id = std::string(id)](const RawRequest& seen) {
+          return ReactWithTrailers(id, seen);
+        }));
+    world.Register(id, servers.back()->Port());
+  }
+  EdgeProcess edge("edge-1", "a", world.Store().Address(), world.Ports());
+  edge.Start();
+  REQUIRE(WaitFor([&edge] { return edge.IsReady(); }));
+  for (int index = 0; index < 4; ++index) {
+    const std::string id = "claims-00000000" + std::to_string(index);
+    INFO(id);
+    const Response response = CallUnrefused(edge, "/once/1", id);
+    CHECK(response.result_int() == 200);
+    CHECK(response.body() == id);
+    CHECK(response[wire::kServerLeaving].empty());
+    CHECK(servers[0]->ReceivedOf(id) + servers[1]->ReceivedOf(id) == 1);
+  }
+  CHECK(CallUnrefused(edge, "/once/1", "late-00000000000").result_int() != 200);
+}
+
 }  // namespace
 }  // namespace banyanknot::platform::edge_testing
