Refuse a head that runs on into that of the next response

Callers would get the status of one response with the signature and the body of another, where the head of the first breaks off in its reason phrase or in a field before the id of the request (MIXED).

Cause: a head ends at the first empty line, which is that of the second head. Replies that name their request or their signature twice were refused; here each stands once.

Ruled out: heads that break off elsewhere; the parser refuses what follows.

Change: the reader refuses a head that holds the beginning of a status line in its reason phrase or in the value of a field.

--- a/src/transport/response_reader.cc
+++ b/src/transport/response_reader.cc
@@ -45,6 +45,34 @@
          head.result_int() <= kLastStatus;
 }
 
+/// Tells whether `text` holds the beginning of a status line.
+bool HoldsStatusLine(beast::string_view text) {
+  constexpr beast::string_view kVersion = "HTTP/1.";
+  const auto is_digit = [](char letter) {
+    return letter >= '0' && letter <= '9';
+  };
+  for (std::size_t at = text.find(kVersion); at != beast::string_view::npos;
+       at = text.find(kVersion, at + 1)) {
+    const beast::string_view rest = text.substr(at + kVersion.size());
+    // The minor version, a blank and the status.
+    if (rest.size() >= 5 && is_digit(rest[0]) && rest[1] == ' ' &&
+        std::all_of(rest.begin() + 2, rest.begin() + 5, is_digit)) {
+      return true;
+    }
+  }
+  return false;
+}
+
+/// Tells whether the head of one response broke off and the next response was
+/// read as the rest of it.
+bool IsTwoHeads(const http::response_header<>& head) {
+  return HoldsStatusLine(head.reason()) ||
+         std::any_of(head.begin(), head.end(),
+                     [](const http::fields::value_type& field) {
+                       return HoldsStatusLine(field.value());
+                     });
+}
+
 }  // namespace
 
 ResponseReader::ResponseReader(beast::tcp_stream& stream,
@@ -113,6 +141,7 @@
 /// Discards the head of an interim response, and keeps that of a final one.
 beast::error_code ResponseReader::TakeHead() {
   const http::response_header<>& head = this->parser->get();
+  if (IsTwoHeads(head)) return http::make_error_code(http::error::bad_value);
   if (IsInterim(head)) {
     if (++this->interim_heads > kMaxInterimHeads) {
       return http::make_error_code(http::error::header_limit);
--- a/test/support/broken_heads.h
+++ b/test/support/broken_heads.h
@@ -88,6 +88,12 @@
       {"no content, with a length", "204 No Content", ""},
       {"no content, in chunks", "204 No Content",
        "Transfer-Encoding: chunked\r\n", Framing::kChunks},
+      {"cut in its status line, another after it",
+       "200 OHTTP/1.1 503 Service Unavailable", ""},
+      {"cut in a field, another after it", "200 OK",
+       "Date: MonHTTP/1.1 503 Service Unavailable\r\n"},
+      {"cut after a field's name, another after it", "200 OK",
+       "X-Odd: HTTP/1.0 429 \r\n"},
   };
 }
 
