Discard late successes of other calls where a gather is passed on

Gathers that another host was running ran here a second time, each shard asked twice without the budget for extra requests (BUDGET), where a response to another call came first on the connection. Found by looking at what a head that is not the answer is believed to say between hosts.

Cause: every response without the mark of a gathered answer counted as "not started", also a 200 that names no request, as a host sends to a check of the connection, to adverts and to reads of changes.

Ruled out: answers to adverts and changes; a response of the wrong kind can't be decoded as one.

Change: a response is a decline only if it names the gather or is a failure.

Test "A late response to another call declines no gather": before, 10 of 10 gathers ran here too; now none. All tests of delegation and of the edge pass.

--- a/src/transport/host_http_link.cc
+++ b/src/transport/host_http_link.cc
@@ -25,6 +25,7 @@
 constexpr state::Duration kFollowMargin = state::Milliseconds(300);
 constexpr state::Duration kSnapshotTimeout = state::Milliseconds(1'000);
 constexpr unsigned kHttpOk = 200;
+constexpr unsigned kFirstFailure = 400;
 
 coordination::DelegationFailure FailureOf(TransportError error) {
   switch (error) {
@@ -41,6 +42,14 @@
   }
 }
 
+/// Tells whether the other host, or its HTTP layer, refused a gather. Neither
+/// names the request; a success that doesn't is that to another call.
+bool IsDecline(const protocol::HttpResponse& response) {
+  return response.status >= kFirstFailure &&
+         protocol::HeaderValue(response.headers, protocol::kGatheredHeader)
+             .empty();
+}
+
 coordination::DelegationResult ToDelegationResult(
     HttpCallResult result, const protocol::RelayCodec& codec) {
   if (!state::IsOk(result)) return FailureOf(state::ErrorOf(result));
@@ -89,13 +98,10 @@
     const state::Endpoint& host, coordination::DelegatedRequest request,
     coordination::DelegationHandler handler) {
   const state::TimePoint now = this->clock.Now();
-  // A host that declines doesn't name the request.
-  HttpCall call([this, id = request.request->id](
-                    const protocol::HttpResponse& response) {
-    return this->codec.IsReplyTo(response, id) ||
-           protocol::HeaderValue(response.headers, protocol::kGatheredHeader)
-               .empty();
-  });
+  HttpCall call(
+      [this, id = request.request->id](const protocol::HttpResponse& response) {
+        return this->codec.IsReplyTo(response, id) || IsDecline(response);
+      });
   call.request = this->codec.EncodeDelegated(*request.request);
   protocol::AddDelegationHeader(
       {request.routes_version, now - request.request->received_at,
--- a/test/platform/edge/edge_delegation_test.cc
+++ b/test/platform/edge/edge_delegation_test.cc
@@ -292,6 +292,36 @@
   CHECK(asked == 2 * heads.size());
 }
 
+// Guards against the late response to a check of the connection, or to an
+// exchange of adverts, counting as proof that the other edge has not started.
+TEST_CASE("A late response to another call declines no gather") {
+  DelegationWorld fleet;
+  const RawServerStandIn late("a-late", [](const RawRequest& seen) {
+    const std::string empty = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}";
+    if (seen.target.rfind("/all/", 0) != 0) {
+      return std::vector<RawStep>{{empty}};
+    }
+    return std::vector<RawStep>{
+        {empty},
+        {"HTTP/1.1 200 OK\r\nBanyanknot-Gathered: 1\r\n" +
+             std::string(wire::kMissingParts) + ": 0\r\n" + wire::kRequestId +
+             ": " + seen.id + "\r\nContent-Length: 16\r\n\r\n" + seen.id,
+         state::Milliseconds(20)}};
+  });
+  fleet.small.Start();
+  REQUIRE(WaitFor([&fleet] { return fleet.small.IsReady(); }));
+  Advertise(fleet.small, "a-late", late.Port());
+  for (int index = 0; index < 10; ++index) {
+    const std::optional<Response> answer = fleet.Gather();
+    const std::string id = RequestId(fleet.requests);
+    INFO(id);
+    REQUIRE(StatusOf(answer) == 200);
+    CHECK(late.ReceivedOf(id) == 1);
+    CHECK(answer->body() == id);
+    CHECK(fleet.world.RunsOf(id) == 0);
+  }
+}
+
 TEST_CASE("A caller that leaves cancels its gather through both edges") {
   DelegationWorld fleet;
   fleet.Start();
