Test that bytes without end cost no other request its answer

Reported by other operators: a server sent bytes without end, the machine that had called it ran out of memory, and the requests of other clients ended with it.

Added: while 16 callers at a time ask servers that send each kind of endless response, or 15 MB and then a byte now and then, gathers from other servers are all answered whole.

--- a/test/platform/edge/edge_process_test.cc
+++ b/test/platform/edge/edge_process_test.cc
@@ -1,3 +1,4 @@
+#include <atomic>
 #include <catch2/catch.hpp>
 #include <csignal>
 #include <fstream>
@@ -324,6 +325,51 @@
   threads.Stop();
 }
 
+// Guards against the replies of other servers being refused because one
+// server's bytes fill what a host holds for unfinished replies.
+TEST_CASE("Servers whose bytes never end cost no other request its answer") {
+  transport::IoThreads threads{2};
+  std::vector<transport::EndlessBytes> rows = transport::AllEndlessBytes();
+  // Nearly as much as a relayed reply may have, and then no end.
+  rows.push_back({"long body that trickles on",
+                  {"HTTP/1.1 200 OK\r\n\r\n" + std::string(15u << 20, 'x'), "x",
+                   std::chrono::milliseconds(20)}});
+  for (const transport::EndlessBytes& row : rows) {
+    INFO(row.name);
+    EdgeWorld world;
+    const transport::RawByteServer endless(threads.Context(), row.bytes);
+    for (const char* id : {"d1", "d2"}) {
+      world.Register(id, endless.Address().port);
+    }
+    const std::unique_ptr<EdgeProcess> edge = StartReady(world);
+    std::atomic<bool> is_stopping{false};
+    std::thread flood([&edge, &is_stopping] {
+      for (int round = 0; !is_stopping; ++round) {
+        std::vector<std::unique_ptr<RawCaller>> callers;
+        for (int index = 0; index < 16; ++index) {
+          callers.push_back(std::make_unique<RawCaller>(edge->Callers()));
+          callers.back()->Write(RawCaller::Request(
+              index % 2 == 0 ? "/desk/1" : "/once/1",
+              "flood-" + std::to_string(round) + "-" + std::to_string(index)));
+        }
+        for (const std::unique_ptr<RawCaller>& caller : callers) caller->Read();
+      }
+    });
+    for (int index = 0; index < 40; ++index) {
+      RawCaller caller(edge->Callers());
+      const std::optional<Response> gathered = caller.Call(
+          "/all/1", "gather-" + std::to_string(100'000'000 + index));
+      CHECK(StatusOf(gathered) == 200);
+      if (gathered) CHECK((*gathered)[wire::kMissingParts] == "0");
+      std::this_thread::sleep_for(std::chrono::milliseconds(5));
+    }
+    is_stopping = true;
+    flood.join();
+    CHECK(edge->PeakResidentKb() < kMaxResidentKb);
+  }
+  threads.Stop();
+}
+
 TEST_CASE("Failures of the store leave the routes in force") {
   for (const StoreMode mode :
        {StoreMode::kRefusing, StoreMode::kSilent, StoreMode::kHistoryLost,
