Count unfinished heads in the budget of received bytes

Reported by other operators: bytes without end, also in a head, exhaust the memory of the machine that called. Here a head may have 64 KiB, but what was held of heads counted nowhere: the budget covered bodies alone, and many slow heads together could exceed a small host's memory.

Cause: the reservation of a response grew with its body; the bytes before, which wait in the buffer for the end of the head, were left out.

Ruled out: a single head or trailer without end; both have limits.

Change: a response holds its body and all bytes that are not parsed yet.

--- a/src/transport/response_reader.cc
+++ b/src/transport/response_reader.cc
@@ -168,8 +168,10 @@
 beast::error_code ResponseReader::CheckLimits() {
   const std::size_t max_received =
       kMaxEncodingFactor * this->max_body_bytes + kMaxBufferedBytes;
+  const std::size_t held =
+      this->parser->get().body().size() + this->buffer.size();
   if (this->received_bytes > max_received ||
-      !this->reservation.TryGrowTo(this->parser->get().body().size())) {
+      !this->reservation.TryGrowTo(held)) {
     return http::make_error_code(http::error::body_limit);
   }
   return {};
--- a/test/transport/endless_bytes_test.cc
+++ b/test/transport/endless_bytes_test.cc
@@ -149,6 +149,36 @@
                            Milliseconds(10'000)));
 }
 
+// Guards against heads, which may be as long as 64 KiB, being held beside the
+// budget.
+TEST_CASE("A hundred unfinished heads together stay within the budget") {
+  constexpr std::size_t kCalls = 100;
+  EndlessFixture fixture(
+      {"HTTP/1.1 200 OK\r\nX-Long: " + std::string(60'000, 'x'), "x",
+       std::chrono::milliseconds(100)},
+      kCalls);
+  std::vector<std::future<HttpCallResult>> calls;
+  for (std::size_t index = 0; index < kCalls; ++index) {
+    calls.push_back(fixture.Start(Milliseconds(1'000)));
+  }
+  std::size_t most_reserved = 0;
+  std::size_t too_large = 0;
+  for (std::future<HttpCallResult>& call : calls) {
+    while (call.wait_for(std::chrono::milliseconds(1)) !=
+           std::future_status::ready) {
+      most_reserved = std::max(most_reserved, fixture.budget->Reserved());
+    }
+    const HttpCallResult result = call.get();
+    REQUIRE_FALSE(state::IsOk(result));
+    if (state::ErrorOf(result) == TransportError::kTooLarge) ++too_large;
+  }
+  CHECK(most_reserved > kBudgetBytes / 2);
+  CHECK(most_reserved <= kBudgetBytes);
+  CHECK(too_large > 0);
+  CHECK(testing::WaitUntil([&] { return fixture.budget->Reserved() == 0; },
+                           Milliseconds(10'000)));
+}
+
 TEST_CASE("A response after a few interim heads is delivered") {
   EndlessFixture fixture(
       {"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nX: y\r\n\r\n"
