Limit the responses to adverts, health checks and cancellations

One response without end to one of these small calls could fill the budget for unfinished responses, so that sound replies to other requests were refused.

Cause: a call that names no limit may receive 64 MiB, which is the whole budget of the product's own host, and as much as that of an edge with 256 MB.

Ruled out: checks of connections and the edge's health checks name 1 MiB and 64 KiB; passed changes 8 MiB.

Change: each call names what is decoded from its response: 16 KiB of adverts, 1 MiB of a server's report, 4 KiB after a cancellation.

--- a/include/banyanknot/protocol/backend_codec.h
+++ b/include/banyanknot/protocol/backend_codec.h
@@ -17,6 +17,8 @@
 inline constexpr const char* kHealthPath = "/v1/health";
 /// \brief Maximum size of a reply of a backend server, in bytes.
 inline constexpr std::size_t kMaxSubReplyBytes = 16u << 20;
+/// \brief Maximum size of a server's report of its health and load, in bytes.
+inline constexpr std::size_t kMaxServerReportBytes = 1u << 20;
 
 /// \brief Writes a sub-request for a backend server.
 /// \param remaining time left until the deadline, sent in its place
--- a/include/banyanknot/protocol/fleet_codec.h
+++ b/include/banyanknot/protocol/fleet_codec.h
@@ -40,6 +40,8 @@
 state::Result<std::vector<state::HostAdvert>, ProtocolError> DecodeAdverts(
     const std::string& text);
 inline constexpr std::size_t kMaxAdverts = 16;
+/// \brief Maximum size of encoded adverts, in bytes.
+inline constexpr std::size_t kMaxAdvertsBytes = 16u << 10;
 
 /// \brief Writes published changes for another host.
 std::string EncodePassedChanges(const coordination::PassedChanges& passed);
--- a/src/protocol/backend_codec.cc
+++ b/src/protocol/backend_codec.cc
@@ -170,7 +170,7 @@
 state::Result<state::ServerReport, ProtocolError> DecodeServerReport(
     const std::string& body) {
   const state::Result<json, ProtocolError> parsed =
-      ParseJson(body, kMaxSubRequestBytes);
+      ParseJson(body, kMaxServerReportBytes);
   if (!state::IsOk(parsed)) return state::ErrorOf(parsed);
   JsonReader reader(state::ValueOf(parsed), "");
   state::ServerReport report = ReadReport(reader);
--- a/src/protocol/fleet_codec.cc
+++ b/src/protocol/fleet_codec.cc
@@ -21,7 +21,6 @@
 /// Hosts of other protocol versions don't pass requests to each other.
 constexpr const char* kProtocolVersion = "1";
 
-constexpr std::size_t kMaxAdvertsBytes = 16u << 10;
 constexpr std::size_t kMaxNameBytes = 128;
 constexpr std::uint64_t kMaxAgeMs = 3'600'000;
 constexpr std::uint64_t kMaxWaitMs = 30'000;
--- a/src/transport/backend_health_http_client.cc
+++ b/src/transport/backend_health_http_client.cc
@@ -29,6 +29,7 @@
   call.request = {"GET", protocol::kHealthPath, ""};
   call.deadline = this->clock.Now() + kHealthTimeout;
   call.send_before = call.deadline;
+  call.max_response_bytes = protocol::kMaxServerReportBytes;
   this->pools.Of(server, endpoint)
       .control->Call(std::move(call), [handler = std::move(handler)](
                                           const HttpCallResult& result) {
--- a/src/transport/backend_http_client.cc
+++ b/src/transport/backend_http_client.cc
@@ -12,6 +12,8 @@
 namespace {
 
 constexpr state::Duration kCancelTimeout = state::Milliseconds(200);
+/// Nothing is read from the response to a cancellation.
+constexpr std::size_t kMaxCancelResponseBytes = 4u << 10;
 
 using DecodedReply = std::optional<coordination::BackendResult>;
 
@@ -61,6 +63,7 @@
                   protocol::EncodeCancel(request)};
   call.deadline = this->clock.Now() + kCancelTimeout;
   call.send_before = call.deadline;
+  call.max_response_bytes = kMaxCancelResponseBytes;
   this->pools.Of(request.server, request.endpoint)
       .control->Call(std::move(call), [](const HttpCallResult& /*result*/) {});
 }
--- a/src/transport/host_http_link.cc
+++ b/src/transport/host_http_link.cc
@@ -127,6 +127,7 @@
                   protocol::EncodeAdverts({own})};
   call.deadline = this->clock.Now() + kExchangeTimeout;
   call.send_before = call.deadline;
+  call.max_response_bytes = protocol::kMaxAdvertsBytes;
   this->PoolOf(host)->Call(std::move(call), [handler = std::move(handler)](
                                                 const HttpCallResult& result) {
     if (!state::IsOk(result) || state::ValueOf(result).status != kHttpOk) {
--- a/test/transport/endless_bytes_test.cc
+++ b/test/transport/endless_bytes_test.cc
@@ -6,6 +6,10 @@
 #include <thread>
 #include <vector>
 
+#include "banyanknot/coordination/servers/connection_shares.h"
+#include "banyanknot/coordination/servers/server_connection_listener.h"
+#include "banyanknot/transport/backend_health_http_client.h"
+#include "banyanknot/transport/backend_pools.h"
 #include "banyanknot/transport/http_connection_pool.h"
 #include "banyanknot/transport/io_threads.h"
 #include "banyanknot/transport/steady_clock.h"
@@ -179,6 +183,43 @@
                            Milliseconds(10'000)));
 }
 
+/// One connection to each server.
+class SingleShares : public coordination::ConnectionShares {
+ public:
+  coordination::ConnectionShare Of(const state::ServerId&,
+                                   const state::Endpoint&) const override {
+    return {1, 1};
+  }
+};
+
+class IgnoringListener : public coordination::ServerConnectionListener {
+ public:
+  void OnClosedByServer(const state::ServerId&, state::Duration) override {}
+};
+
+// Guards against one server's response to a small call taking the whole budget.
+TEST_CASE("A response without end to a health check is cut off early") {
+  SteadyClock clock;
+  IoThreads threads{2};
+  const RawByteServer server(threads.Context(), {"HTTP/1.1 200 OK\r\n\r\n",
+                                                 std::string(16u << 10, 'x')});
+  const SingleShares shares;
+  IgnoringListener listener;
+  BackendPools pools(threads.Context(), clock, shares, listener,
+                     ConnectionChecks::kSilent, "");
+  BackendHealthHttpClient client(clock, pools);
+  std::promise<coordination::HealthResult> promise;
+  client.Read(state::ServerId("s"), server.Address(),
+              [&promise](coordination::HealthResult result) {
+                promise.set_value(std::move(result));
+              });
+  std::future<coordination::HealthResult> future = promise.get_future();
+  REQUIRE(future.wait_for(kTestTimeout) == std::future_status::ready);
+  CHECK_FALSE(state::IsOk(future.get()));
+  CHECK(server.BytesSent() < kMaxSentBytes);
+  threads.Stop();
+}
+
 TEST_CASE("A response after a few interim heads is delivered") {
   EndlessFixture fixture(
       {"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nX: y\r\n\r\n"
