Log and count the malformed responses of servers

A response that can't be a final one ended as a lost connection, and nothing told it from a server that crashed: the log had only that the server is doubted.

Change: the event response_malformed names the server and the fault, and banyanknot_relay_malformed_responses_total counts. The outcome is the same.

--- a/include/banyanknot/coordination/event_code.h
+++ b/include/banyanknot/coordination/event_code.h
@@ -33,6 +33,7 @@
   kRequestNotWhole = 4002,
   kDelegationFailed = 4003,
   kResponseMisplaced = 4004,
+  kResponseMalformed = 4005,
   kRoutesInForce = 5001,
   kServerRegistered = 5002,
   kServerRemoved = 5003,
@@ -57,7 +58,7 @@
 };
 
 /// \brief Every event, ordered by number.
-inline constexpr std::array<EventDescription, 33> kEventDescriptions{{
+inline constexpr std::array<EventDescription, 34> kEventDescriptions{{
     {EventCode::kHostStarting, "host_starting", LogSeverity::kInfo,
      "The process has read its settings and is starting."},
     {EventCode::kHostListening, "host_listening", LogSeverity::kInfo,
@@ -98,6 +99,8 @@
      "Another host gave no answer to a gather that it was passed."},
     {EventCode::kResponseMisplaced, "response_misplaced", LogSeverity::kWarning,
      "A server's response belonged to no open request and was discarded."},
+    {EventCode::kResponseMalformed, "response_malformed", LogSeverity::kWarning,
+     "A server sent bytes that can't be a final response."},
     {EventCode::kRoutesInForce, "routes_in_force", LogSeverity::kInfo,
      "A version of the routes came into force on this host."},
     {EventCode::kServerRegistered, "server_registered", LogSeverity::kInfo,
--- a/include/banyanknot/transport/http_pool_options.h
+++ b/include/banyanknot/transport/http_pool_options.h
@@ -50,6 +50,9 @@
   /// Called for each response that no call accepts; on any thread, with no lock
   /// held. May be empty.
   std::function<void()> on_misplaced_response;
+  /// Called with the fault of each response that can't be a final one; as
+  /// above.
+  std::function<void(const std::string& fault)> on_malformed_response;
   /// Called when the server closes an idle connection, with the time since its
   /// last reply; on any thread, with no lock held. May be empty. Requires
   /// watches_idle.
--- a/include/banyanknot/transport/relay_http_client.h
+++ b/include/banyanknot/transport/relay_http_client.h
@@ -53,6 +53,7 @@
   const std::shared_ptr<ReceiveBudget> receive_budget;
   coordination::EventLog& log;
   std::atomic<std::uint64_t> misplaced_responses{0};
+  std::atomic<std::uint64_t> malformed_responses{0};
   state::ShardedTable<std::string, PoolPtr> pools;
 };
 
--- a/src/transport/client_connection.cc
+++ b/src/transport/client_connection.cc
@@ -61,6 +61,17 @@
                   state::Duration(0));
 }
 
+/// Tells whether the bytes of a response are at fault, not their end or number.
+bool IsMalformed(const beast::error_code& error) {
+  return error.category() ==
+             http::make_error_code(http::error::bad_status).category() &&
+         error != http::error::end_of_stream &&
+         error != http::error::partial_message &&
+         error != http::error::body_limit &&
+         error != http::error::header_limit &&
+         error != http::error::buffer_overflow;
+}
+
 TransportError ReadErrorOf(const beast::error_code& error) {
   if (error == beast::error::timeout || error == asio::error::timed_out) {
     return TransportError::kTimeout;
@@ -378,8 +389,19 @@
   const std::size_t max_body_bytes =
       this->current == nullptr ? kMaxCheckResponseBytes
                                : this->current->call.max_response_bytes;
-  this->reader.Read(max_body_bytes, this->request.method() != http::verb::head,
-                    std::move(handler));
+  this->reader.Read(
+      max_body_bytes, this->request.method() != http::verb::head,
+      [self = this->shared_from_this(),
+       handler = std::move(handler)](const beast::error_code& error) {
+        self->ReportIfMalformed(error);
+        handler(error);
+      });
+}
+
+void ClientConnection::ReportIfMalformed(const beast::error_code& error) {
+  if (IsMalformed(error) && this->pool->options.on_malformed_response) {
+    this->pool->options.on_malformed_response(error.message());
+  }
 }
 
 void ClientConnection::OnRead(const beast::error_code& error) {
--- a/src/transport/client_connection.h
+++ b/src/transport/client_connection.h
@@ -71,6 +71,7 @@
   bool IsClosedByServer();
   TransportError ConnectError(const boost::beast::error_code& error) const;
   void ReadResponse(ResponseReader::Handler handler);
+  void ReportIfMalformed(const boost::beast::error_code& error);
 
   const std::shared_ptr<PoolCore> pool;
   boost::beast::tcp_stream stream;
--- a/src/transport/relay_http_client.cc
+++ b/src/transport/relay_http_client.cc
@@ -78,6 +78,11 @@
         this->log.Write(coordination::EventCode::kResponseMisplaced,
                         {{"server", server.Text()}});
       };
+      options.on_malformed_response = [this, server](const std::string& fault) {
+        ++this->malformed_responses;
+        this->log.Write(coordination::EventCode::kResponseMalformed,
+                        {{"server", server.Text()}, {"fault", fault}});
+      };
       pool = std::make_shared<HttpConnectionPool>(this->context, this->clock,
                                                   endpoint, std::move(options));
     }
@@ -150,6 +155,11 @@
                      coordination::MetricKind::kCounter,
                      {},
                      static_cast<double>(this->misplaced_responses)});
+  samples.push_back({"banyanknot_relay_malformed_responses_total",
+                     "Responses of servers that can't be final ones.",
+                     coordination::MetricKind::kCounter,
+                     {},
+                     static_cast<double>(this->malformed_responses)});
 }
 
 void RelayHttpClient::CloseConnections(const state::InstanceId& server,
--- a/test/platform/edge/edge_broken_heads_test.cc
+++ b/test/platform/edge/edge_broken_heads_test.cc
@@ -21,6 +21,7 @@
 using testing::BrokenHead;
 
 constexpr const char* kIdPrefix = "head-";
+constexpr state::Duration kEventTimeout = state::Milliseconds(10'000);
 
 /// What a broken head claims beside being an answer.
 enum class Claim { kNone, kNotRun, kAll };
@@ -209,6 +210,11 @@
     CHECK(CallUnrefused(edge, "/desk/1", "lost").result_int() == 502);
     CHECK(CallUnrefused(edge, "/desk/1", "after").result_int() == 200);
     CHECK(script.Checks() == 1);
+    const std::optional<nlohmann::json> line =
+        edge.WaitForEvent("response_malformed", kEventTimeout);
+    REQUIRE(line);
+    CHECK(line->value("server", "") == "d1");
+    CHECK_FALSE(line->value("fault", "").empty());
   }
 }
 
