--- a/daemons/relay_application.cc
+++ b/daemons/relay_application.cc
@@ -136,18 +136,28 @@
         reachability(clock, routes, servers, log),
         advert_exchange(clock, timers, random, host_link, roster, readiness,
                         settings.seeds),
+        quota_accountant(
+            clock, routes,
+            settings.quota_rules.value_or(coordination::QuotaRules()),
+            settings.id, host_link, roster),
+        fleet_quota_gate(clock, timers, routes, settings.id, host_link, roster,
+                         quota_accountant, log),
         dispatcher(clock, timers, host_link, roster, routes, executor, log),
         peer_service(clock, codec, readiness, routes, roster, change_history,
-                     timers, executor),
+                     timers, executor, quota_accountant),
         peer_server(threads.Context(), peer_service, MakePeerServerLimits()),
-        front_service(clock, codec, readiness, dispatcher),
+        workspace_guard(
+            clock, routes, source_follower,
+            {settings.source_contact_timeout, settings.key_lifetime},
+            QuotaGateOf(settings), dispatcher, journal),
+        front_service(clock, codec, readiness, workspace_guard),
         caller_server(threads.Context(), front_service,
                       MakeHttpServerLimits({})),
         host_metrics(log, readiness, routes, executor, threads,
                      *receive_budget),
         status_service(codec.ReadyPath(), readiness,
                        {&journal, &dispatcher, &shared_source, &relay_client,
-                        &host_metrics}),
+                        &host_metrics, &quota_accountant}),
         ready_server(threads.Context(), status_service, {}),
         metrics_server(threads.Context(), status_service, {}),
         stop_target(dispatcher, executor, caller_server, peer_server),
@@ -163,6 +173,11 @@
     });
   }
 
+  coordination::QuotaGate& QuotaGateOf(const RelaySettings& of) {
+    if (of.quota_rules) return this->fleet_quota_gate;
+    return this->open_quota_gate;
+  }
+
   transport::SteadyClock clock;
   transport::SystemWallClock wall_clock;
   const RelaySettings settings;
@@ -197,9 +212,13 @@
   coordination::ReachabilityReadiness reachability;
   LateBoundReadiness readiness;
   coordination::AdvertExchange advert_exchange;
+  coordination::QuotaAccountant quota_accountant;
+  coordination::FleetQuotaGate fleet_quota_gate;
+  coordination::OpenQuotaGate open_quota_gate;
   coordination::RelayDispatcher dispatcher;
   RelayPeerService peer_service;
   transport::HttpServer peer_server;
+  coordination::WorkspaceGuard workspace_guard;
   RelayFrontService front_service;
   transport::HttpServer caller_server;
   RelayHostMetrics host_metrics;
@@ -325,6 +344,7 @@
   if (!this->Listen()) return 1;
   this->parts->source_follower.Start();
   if (this->parts->settings.peer_listen) this->parts->advert_exchange.Start();
+  if (this->parts->settings.quota_rules) this->parts->fleet_quota_gate.Start();
   this->parts->timers.RunAt(this->parts->clock.Now() + kSettingsPollInterval,
                             [this] { this->WatchSettings(); });
   return this->RunUntilStopped();
--- a/daemons/relay_peer_service.cc
+++ b/daemons/relay_peer_service.cc
@@ -39,7 +39,8 @@
                                    coordination::GathererRoster& roster,
                                    coordination::ChangeHistory& history,
                                    coordination::TimerService& timers,
-                                   coordination::RelayRunner& executor)
+                                   coordination::RelayRunner& executor,
+                                   coordination::QuotaAccountant& accountant)
     : clock(clock),
       codec(codec),
       readiness(readiness),
@@ -47,7 +48,8 @@
       roster(roster),
       history(history),
       timers(timers),
-      executor(executor) {}
+      executor(executor),
+      accountant(accountant) {}
 
 void RelayPeerService::Handle(
     std::shared_ptr<transport::HttpExchange> exchange) {
@@ -63,6 +65,8 @@
     exchange->Respond({});
   } else if (request.target == protocol::kAdvertsPath) {
     exchange->Respond(this->ExchangeAdverts(request.body));
+  } else if (request.target == protocol::kCreditPath) {
+    this->GrantCredit(exchange);
   } else if (const std::optional<protocol::ChangesQuery> query =
                  protocol::DecodeChangesTarget(request.target)) {
     this->PassChanges(exchange, *query);
@@ -71,6 +75,31 @@
   }
 }
 
+void RelayPeerService::GrantCredit(
+    const std::shared_ptr<transport::HttpExchange>& exchange) {
+  const state::Result<coordination::CreditRequest, protocol::ProtocolError>
+      request = protocol::DecodeCreditRequest(exchange->Request().body);
+  if (!state::IsOk(request)) {
+    exchange->Respond(Status(kHttpBadRequest));
+    return;
+  }
+  const coordination::CreditHandler respond =
+      [exchange](const std::optional<coordination::CreditGrant>& grant) {
+        protocol::HttpResponse response;
+        response.body = protocol::EncodeCreditGrant(
+            grant.value_or(coordination::CreditGrant()));
+        exchange->Respond(std::move(response));
+      };
+  switch (state::ValueOf(request).action) {
+    case coordination::CreditAction::kTake:
+      this->accountant.Take(state::ValueOf(request), respond);
+      break;
+    case coordination::CreditAction::kBorrow:
+      respond(this->accountant.Lend(state::ValueOf(request)));
+      break;
+  }
+}
+
 void RelayPeerService::PassChanges(
     const std::shared_ptr<transport::HttpExchange>& exchange,
     const protocol::ChangesQuery& query) {
@@ -119,6 +148,8 @@
   state::RelayRequest decoded = this->codec.DecodeRequest(
       request, this->clock.Now() - delegation.elapsed);
   decoded.outside_time = delegation.outside_time;
+  decoded.workspace = delegation.workspace;
+  decoded.priority = delegation.priority;
   const std::string id = decoded.id;
   const std::uint64_t run_number = this->executor.Run(
       std::move(decoded),
@@ -142,8 +173,14 @@
   const state::HostAdvert& sender = state::ValueOf(adverts).front();
   this->roster.Hear(sender, now);
   protocol::HttpResponse response;
-  response.body = protocol::EncodeAdverts(
-      this->roster.Adverts(sender.domain, this->readiness.IsReady(), now));
+  const bool is_ready = this->readiness.IsReady();
+  std::vector<state::HostAdvert> known =
+      this->roster.Adverts(sender.domain, is_ready, now);
+  for (const state::HostAdvert& leader :
+       this->roster.LeadersExcept(sender.domain, is_ready, now)) {
+    if (known.size() < protocol::kMaxAdverts) known.push_back(leader);
+  }
+  response.body = protocol::EncodeAdverts(known);
   return response;
 }
 
--- a/daemons/relay_peer_service.h
+++ b/daemons/relay_peer_service.h
@@ -6,6 +6,7 @@
 #include "banyanknot/coordination/clock.h"
 #include "banyanknot/coordination/delegation/change_history.h"
 #include "banyanknot/coordination/delegation/gatherer_roster.h"
+#include "banyanknot/coordination/quota/quota_accountant.h"
 #include "banyanknot/coordination/readiness.h"
 #include "banyanknot/coordination/routing/relay_runner.h"
 #include "banyanknot/coordination/routing/route_directory.h"
@@ -27,7 +28,8 @@
                    coordination::GathererRoster& roster,
                    coordination::ChangeHistory& history,
                    coordination::TimerService& timers,
-                   coordination::RelayRunner& executor);
+                   coordination::RelayRunner& executor,
+                   coordination::QuotaAccountant& accountant);
 
   void Handle(std::shared_ptr<transport::HttpExchange> exchange) override;
 
@@ -36,6 +38,7 @@
                        const protocol::HttpRequest& request,
                        const protocol::DelegationHeader& delegation);
   protocol::HttpResponse ExchangeAdverts(const std::string& body);
+  void GrantCredit(const std::shared_ptr<transport::HttpExchange>& exchange);
   void PassChanges(const std::shared_ptr<transport::HttpExchange>& exchange,
                    const protocol::ChangesQuery& query);
 
@@ -47,6 +50,7 @@
   coordination::ChangeHistory& history;
   coordination::TimerService& timers;
   coordination::RelayRunner& executor;
+  coordination::QuotaAccountant& accountant;
 };
 
 }  // namespace banyanknot::daemons
--- a/daemons/relay_settings.cc
+++ b/daemons/relay_settings.cc
@@ -36,6 +36,34 @@
       std::min(settings.leave_grace, settings.stop_timeout / 2);
 }
 
+/// Reads a number that the schema has checked; `fallback` if it is missing.
+double NumberOr(protocol::JsonReader& reader, const char* member,
+                double fallback) {
+  const nlohmann::json& value = reader.AnyOrNull(member);
+  return value.is_number() ? value.get<double>() : fallback;
+}
+
+std::optional<coordination::QuotaRules> ReadQuotaRules(
+    protocol::JsonReader& reader, const state::FailureDomainId& own_domain) {
+  constexpr double kMillisecondsPerSecond = 1'000;
+  const double window_s = NumberOr(reader, "quota_window_s", 0);
+  if (window_s <= 0) return std::nullopt;
+  coordination::QuotaRules rules;
+  rules.window =
+      state::FromFractionalMilliseconds(window_s * kMillisecondsPerSecond);
+  rules.over = NumberOr(reader, "quota_over", rules.over);
+  rules.slack = NumberOr(reader, "quota_slack", rules.slack);
+  for (const nlohmann::json& domain : reader.ArrayOrEmpty("domains")) {
+    rules.domains.emplace_back(domain.get<std::string>());
+  }
+  if (std::find(rules.domains.begin(), rules.domains.end(), own_domain) ==
+      rules.domains.end()) {
+    reader.Fail(protocol::ProtocolErrorCode::kMissing, "domains",
+                "must contain the host's own failure domain");
+  }
+  return rules;
+}
+
 RelaySettings ReadMembers(protocol::JsonReader& reader) {
   RelaySettings settings;
   settings.id = state::HostId(reader.String("id"));
@@ -76,6 +104,11 @@
       reader.UnsignedOr("memory_mb", kDefaultMemoryMb, kMaxMemoryMb) << 20);
   settings.extra_request_share =
       reader.FractionOr("extra_request_share", settings.extra_request_share);
+  settings.quota_rules = ReadQuotaRules(reader, settings.domain);
+  if (reader.BoolOr("strict_revocation", false)) {
+    settings.key_lifetime =
+        reader.MillisecondsOr("revocation_ms", settings.source_contact_timeout);
+  }
   settings.log_severity = state::FindValue(coordination::kLogSeverityNames,
                                            reader.StringOr("log_severity", ""))
                               .value_or(settings.log_severity);
--- a/daemons/relay_settings.h
+++ b/daemons/relay_settings.h
@@ -8,6 +8,7 @@
 
 #include "banyanknot/coordination/entry_decoder.h"
 #include "banyanknot/coordination/log_severity.h"
+#include "banyanknot/coordination/quota/quota_rules.h"
 #include "banyanknot/state/endpoint.h"
 #include "banyanknot/state/identifier.h"
 #include "banyanknot/state/result.h"
@@ -37,6 +38,11 @@
   /// Memory that the process may use; replies get a share of it.
   std::size_t memory_limit_bytes = std::size_t{256} << 20;
   double extra_request_share = 0.17;
+  /// After this time without news of the source, a host accepts no keys;
+  /// nothing if it goes on with those that it knows.
+  std::optional<state::Duration> key_lifetime;
+  /// Set where the quotas of workspaces are kept over the fleet.
+  std::optional<coordination::QuotaRules> quota_rules;
   coordination::LogSeverity log_severity = coordination::LogSeverity::kInfo;
 };
 
--- a/include/banyanknot/coordination/delegation/gatherer_roster.h
+++ b/include/banyanknot/coordination/delegation/gatherer_roster.h
@@ -6,6 +6,7 @@
 #include <optional>
 #include <vector>
 
+#include "banyanknot/coordination/quota/accountant_directory.h"
 #include "banyanknot/state/routing/host_advert.h"
 
 namespace banyanknot::coordination {
@@ -15,7 +16,7 @@
 /// Nothing that must hold depends on it: hosts that disagree on who gathers
 /// only open a few more connections. An advert that is not renewed lapses after
 /// kLifetime. Keeps a bounded number of hosts. Thread-safe.
-class GathererRoster {
+class GathererRoster : public AccountantDirectory {
  public:
   static constexpr std::size_t kMaxPerDomain = 4;
   static constexpr std::size_t kMaxDomains = 64;
@@ -23,6 +24,8 @@
   /// A host gathers for others that have at most 1/n of its processor share.
   static constexpr double kRoomFactor = 2;
   static constexpr std::size_t kWatchersPerDomain = 2;
+  /// A suspected host is tried again as an accountant after this time.
+  static constexpr state::Duration kSuspicionTime = state::Milliseconds(1'000);
 
   /// \param own what this host tells others
   explicit GathererRoster(state::HostAdvert own) : own(std::move(own)) {}
@@ -38,6 +41,13 @@
                                          bool takes_work,
                                          state::TimePoint now) const;
 
+  /// \brief Returns the roomiest known host of each failure domain but one;
+  /// this host for its own domain if there is no roomier one.
+  /// \param takes_work whether this host takes work now
+  std::vector<state::HostAdvert> LeadersExcept(
+      const state::FailureDomainId& domain, bool takes_work,
+      state::TimePoint now) const;
+
   /// \brief Returns the hosts that may gather for this one.
   std::vector<state::HostAdvert> Gatherers(state::TimePoint now) const;
 
@@ -56,11 +66,16 @@
 
   /// \brief Leaves a host out of PickGatherer() until it is cleared or its
   /// advert lapses.
-  void Suspect(const state::HostId& host, state::TimePoint now);
+  void Suspect(const state::HostId& host, state::TimePoint now) override;
   /// \brief Clears a host that replied to a request sent at `sent_at`, unless
   /// it was suspected since.
   void Clear(const state::HostId& host, state::TimePoint sent_at);
 
+  std::optional<state::HostAdvert> OwnAccountant(
+      state::TimePoint now) const override;
+  std::vector<state::HostAdvert> OtherAccountants(
+      state::TimePoint now) const override;
+
   const state::HostAdvert& Own() const { return this->own; }
 
  private:
@@ -72,6 +87,11 @@
   using DomainEntries = std::map<state::HostId, Entry>;
 
   void RemoveLapsed(DomainEntries& entries, state::TimePoint now) const;
+  /// \brief Returns the roomiest host of a domain that takes work and is not
+  /// suspected; null if none is known.
+  const Entry* LeaderOf(const DomainEntries& entries,
+                        state::TimePoint now) const;
+  std::optional<state::HostAdvert> OwnLeaderLocked(state::TimePoint now) const;
   bool MayGatherHere(const Entry& entry, state::TimePoint now) const;
   /// \brief Returns the roomiest hosts of the domain, this one included; empty
   /// if there are too few to divide the work.
--- a/include/banyanknot/coordination/event_code.h
+++ b/include/banyanknot/coordination/event_code.h
@@ -45,6 +45,7 @@
   kReachLost = 5011,
   kReachRegained = 5012,
   kWatcherLeftOut = 5013,
+  kQuotaAccountantChanged = 5014,
   kSettingsReloaded = 5009,
   kSettingsRefused = 5010,
 };
@@ -58,7 +59,7 @@
 };
 
 /// \brief Every event, ordered by number.
-inline constexpr std::array<EventDescription, 34> kEventDescriptions{{
+inline constexpr std::array<EventDescription, 35> kEventDescriptions{{
     {EventCode::kHostStarting, "host_starting", LogSeverity::kInfo,
      "The process has read its settings and is starting."},
     {EventCode::kHostListening, "host_listening", LogSeverity::kInfo,
@@ -123,6 +124,9 @@
      "Servers of other failure domains are reachable again."},
     {EventCode::kWatcherLeftOut, "watcher_left_out", LogSeverity::kInfo,
      "A host that passes published changes on was left for another source."},
+    {EventCode::kQuotaAccountantChanged, "quota_accountant_changed",
+     LogSeverity::kInfo,
+     "Another host keeps the accounts of this failure domain."},
     {EventCode::kSettingsReloaded, "settings_reloaded", LogSeverity::kInfo,
      "The settings file was reloaded."},
     {EventCode::kSettingsRefused, "settings_refused", LogSeverity::kError,
--- a/include/banyanknot/coordination/routing/relay_admission.h
+++ b/include/banyanknot/coordination/routing/relay_admission.h
@@ -7,7 +7,6 @@
 #include "banyanknot/coordination/routing/relay_deadlines.h"
 #include "banyanknot/coordination/routing/relay_parts.h"
 #include "banyanknot/coordination/routing/relay_policies.h"
-#include "banyanknot/state/routing/route.h"
 
 namespace banyanknot::coordination {
 
@@ -24,9 +23,10 @@
 /// Not thread-safe.
 class RelayAdmission {
  public:
-  RelayAdmission(const RelayPolicies& policies, const state::Route& route,
+  /// \param priority of the request; 0 is the most urgent
+  RelayAdmission(const RelayPolicies& policies, unsigned priority,
                  state::TimePoint deadline)
-      : policies(policies), route(route), deadline(deadline) {}
+      : policies(policies), priority(priority), deadline(deadline) {}
 
   /// \brief Checks a part without attempts, which may be queued if admitted.
   RelayAdmissionResult CheckPart(const RelayPart& part,
@@ -69,7 +69,7 @@
                             state::TimePoint now) const;
 
   const RelayPolicies policies;
-  const state::Route& route;
+  const unsigned priority;
   const state::TimePoint deadline;
   state::ServiceId saturated_service;
   QueueingDelayEstimate shortage_estimate;
--- a/include/banyanknot/coordination/routing/relay_run.h
+++ b/include/banyanknot/coordination/routing/relay_run.h
@@ -68,6 +68,11 @@
   state::Duration EstimatedQueueingDelay() const {
     return this->admission.EstimatedQueueingDelay();
   }
+  /// \brief Returns the priority of the caller's workspace, or else that of the
+  /// route.
+  unsigned Priority() const {
+    return this->request->priority.value_or(this->route.priority);
+  }
   state::TimePoint Deadline() const { return this->deadlines.hard; }
   /// \brief Lists a few of the parts without a reply, for the log.
   std::string DescribeMissing() const { return this->parts.DescribeMissing(); }
--- a/include/banyanknot/coordination/routing/source_follower.h
+++ b/include/banyanknot/coordination/routing/source_follower.h
@@ -3,6 +3,7 @@
 
 #include <atomic>
 #include <cstdint>
+#include <optional>
 
 #include "banyanknot/coordination/clock.h"
 #include "banyanknot/coordination/event_log.h"
@@ -10,6 +11,7 @@
 #include "banyanknot/coordination/routing/routing_intake.h"
 #include "banyanknot/coordination/routing/routing_source.h"
 #include "banyanknot/coordination/timer_service.h"
+#include "banyanknot/coordination/workspace/configuration_age.h"
 
 namespace banyanknot::coordination {
 
@@ -19,7 +21,7 @@
 /// Retries use backoff with jitter, so that hosts which lost the source
 /// together don't return in step. After Start(), callbacks run one after the
 /// other, so the intake gets one batch at a time.
-class SourceFollower {
+class SourceFollower : public ConfigurationAge {
  public:
   /// \param contact_timeout maximum time to detect a source that stops
   ///     responding
@@ -32,6 +34,8 @@
   /// one is needed.
   bool HasRead() const { return this->has_read; }
 
+  std::optional<state::Duration> Age(state::TimePoint now) const override;
+
  private:
   void ReadAll();
   void OnReadAll(const state::Result<RoutingBatch, SourceFailure>& result);
@@ -53,6 +57,7 @@
   bool is_lost = false;  // the last call failed
   unsigned failures = 0;
   state::TimePoint lost_at;
+  std::atomic<state::TimePoint> heard_at{state::TimePoint::min()};
   state::TimePoint regained_at = state::TimePoint::min();
 };
 
--- a/include/banyanknot/protocol/fleet_codec.h
+++ b/include/banyanknot/protocol/fleet_codec.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "banyanknot/coordination/delegation/host_link.h"
+#include "banyanknot/coordination/quota/quota_link.h"
 #include "banyanknot/protocol/http_message.h"
 #include "banyanknot/protocol/protocol_error.h"
 #include "banyanknot/state/result.h"
@@ -43,6 +44,21 @@
 /// \brief Maximum size of encoded adverts, in bytes.
 inline constexpr std::size_t kMaxAdvertsBytes = 16u << 10;
 
+/// \brief Path at which a relay host takes requests for credit (POST).
+inline constexpr const char* kCreditPath = "/fleet/credit";
+/// \brief Maximum size of an encoded request for credit or its answer, in
+/// bytes.
+inline constexpr std::size_t kMaxCreditBytes = 4u << 10;
+
+std::string EncodeCreditRequest(const coordination::CreditRequest& request);
+/// \returns the request, or the first error found
+state::Result<coordination::CreditRequest, ProtocolError> DecodeCreditRequest(
+    const std::string& text);
+std::string EncodeCreditGrant(const coordination::CreditGrant& grant);
+/// \returns the grant, or the first error found
+state::Result<coordination::CreditGrant, ProtocolError> DecodeCreditGrant(
+    const std::string& text);
+
 /// \brief Writes published changes for another host.
 std::string EncodePassedChanges(const coordination::PassedChanges& passed);
 
@@ -69,6 +85,8 @@
   std::uint64_t routes_version = 0;
   state::Duration elapsed{0};       ///< since the first host received it
   state::Duration outside_time{0};  ///< as in state::RelayRequest
+  state::WorkspaceId workspace;     ///< as in state::RelayRequest
+  std::optional<unsigned> priority;
 };
 
 /// \brief Adds the headers for another host to a request.
--- a/include/banyanknot/state/identifier.h
+++ b/include/banyanknot/state/identifier.h
@@ -38,6 +38,7 @@
 using ServerId = Identifier<struct ServerTag>;
 using ServiceId = Identifier<struct ServiceTag>;
 using FailureDomainId = Identifier<struct FailureDomainTag>;
+using WorkspaceId = Identifier<struct WorkspaceTag>;
 /// \brief Identifies one start of a backend server; a restart has another.
 using InstanceId = Identifier<struct InstanceTag>;
 
--- a/include/banyanknot/state/routing/relay_outcome.h
+++ b/include/banyanknot/state/routing/relay_outcome.h
@@ -20,10 +20,12 @@
   kNotConfigured,  ///< no routes are known yet; not run
   kInvalid,        ///< the request lacks a required part
   kAbandoned,      ///< the caller disconnected
+  kUnauthorized,   ///< its key belongs to no workspace; not run
+  kOverQuota,      ///< its workspace has used up its quota; not run
 };
 
 /// \brief Names of RelayOutcome as written in messages and logs.
-inline constexpr std::array<EnumName<RelayOutcome>, 10> kRelayOutcomeNames{{
+inline constexpr std::array<EnumName<RelayOutcome>, 12> kRelayOutcomeNames{{
     {RelayOutcome::kAnswered, "answered"},
     {RelayOutcome::kWhole, "whole"},
     {RelayOutcome::kPartial, "partial"},
@@ -34,6 +36,8 @@
     {RelayOutcome::kNotConfigured, "not_configured"},
     {RelayOutcome::kInvalid, "invalid"},
     {RelayOutcome::kAbandoned, "abandoned"},
+    {RelayOutcome::kUnauthorized, "unauthorized"},
+    {RelayOutcome::kOverQuota, "over_quota"},
 }};
 
 /// \brief Returns the name of a RelayOutcome.
--- a/include/banyanknot/state/routing/relay_request.h
+++ b/include/banyanknot/state/routing/relay_request.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "banyanknot/state/routing/header_field.h"
+#include "banyanknot/state/routing/workspace.h"
 #include "banyanknot/state/util/time.h"
 
 namespace banyanknot::state {
@@ -23,6 +24,12 @@
   /// Time of the request that passes outside this host, between the caller's
   /// start and `received_at` and on the answer's way back; nothing if unknown.
   std::optional<Duration> outside_time;
+  /// Headers that name the caller; forwarded only without workspaces.
+  std::vector<HeaderField> identity_headers;
+  std::optional<KeyDigest> key;  ///< of the caller's workspace, if it sent one
+  WorkspaceId workspace;         ///< that the key belongs to; empty until known
+  /// Priority of the workspace, which replaces that of the route.
+  std::optional<unsigned> priority;
 };
 
 }  // namespace banyanknot::state
--- a/include/banyanknot/state/routing/route.h
+++ b/include/banyanknot/state/routing/route.h
@@ -34,6 +34,7 @@
   Duration timeout = Milliseconds(1'000);    ///< max wait for an answer
   Duration objective = Milliseconds(1'000);  ///< later answers count as late
   unsigned priority = 0;                     ///< 0 is the most urgent
+  bool needs_key = true;  ///< applies where workspaces are configured
 
   bool IsGather() const { return !this->shards.empty(); }
 };
--- a/include/banyanknot/transport/host_http_link.h
+++ b/include/banyanknot/transport/host_http_link.h
@@ -6,6 +6,7 @@
 
 #include "banyanknot/coordination/clock.h"
 #include "banyanknot/coordination/delegation/host_link.h"
+#include "banyanknot/coordination/quota/quota_link.h"
 #include "banyanknot/protocol/relay_codec.h"
 #include "banyanknot/state/sharded_table.h"
 #include "banyanknot/transport/http_connection_pool.h"
@@ -16,7 +17,8 @@
 ///
 /// A connection that has been idle for some time is checked before it carries a
 /// request, since it may have gone silent. Thread-safe.
-class HostHttpLink : public coordination::HostLink {
+class HostHttpLink : public coordination::HostLink,
+                     public coordination::QuotaLink {
  public:
   HostHttpLink(boost::asio::io_context& context,
                const coordination::Clock& clock,
@@ -34,6 +36,10 @@
                      coordination::ChangesHandler handler) override;
   void ReadSnapshot(const state::Endpoint& host,
                     coordination::ChangesHandler handler) override;
+  void AskCredit(const state::Endpoint& host,
+                 const coordination::CreditRequest& request,
+                 state::Duration timeout,
+                 coordination::CreditHandler handler) override;
 
  private:
   using PoolPtr = std::shared_ptr<HttpConnectionPool>;
--- a/src/coordination/delegation/advert_exchange.cc
+++ b/src/coordination/delegation/advert_exchange.cc
@@ -70,6 +70,16 @@
     return targets;
   }
   targets = this->seeds;
+  // Seeds may be gone for good; leaders of domains know each other.
+  const std::vector<state::HostAdvert> leaders =
+      this->roster.OtherAccountants(now);
+  if (!leaders.empty()) {
+    const state::Endpoint& leader =
+        leaders[this->random.Below(leaders.size())].endpoint;
+    if (std::find(targets.begin(), targets.end(), leader) == targets.end()) {
+      targets.push_back(leader);
+    }
+  }
   if (this->AreHostsAlike(now)) return targets;
   const state::HostAdvert& own = this->roster.Own();
   for (const state::HostAdvert& other :
--- a/src/coordination/delegation/gatherer_roster.cc
+++ b/src/coordination/delegation/gatherer_roster.cc
@@ -145,12 +145,72 @@
                      });
 }
 
+const GathererRoster::Entry* GathererRoster::LeaderOf(
+    const DomainEntries& entries, state::TimePoint now) const {
+  const Entry* leader = nullptr;
+  for (const auto& [id, entry] : entries) {
+    // One that is dead says nothing more; one that does is tried again.
+    const bool is_suspected =
+        entry.suspected_at && (entry.said_at <= *entry.suspected_at ||
+                               now - *entry.suspected_at < kSuspicionTime);
+    const bool is_eligible = entry.advert.takes_work && !is_suspected &&
+                             now - entry.said_at < kLifetime;
+    if (!is_eligible) continue;
+    if (leader == nullptr || IsRoomier(entry.advert, leader->advert)) {
+      leader = &entry;
+    }
+  }
+  return leader;
+}
+
+std::optional<state::HostAdvert> GathererRoster::OwnLeaderLocked(
+    state::TimePoint now) const {
+  const auto found = this->domains.find(this->own.domain);
+  if (found == this->domains.end()) return std::nullopt;
+  const Entry* leader = this->LeaderOf(found->second, now);
+  if (leader == nullptr || !IsRoomier(leader->advert, this->own)) {
+    return std::nullopt;
+  }
+  state::HostAdvert advert = leader->advert;
+  advert.age = now - leader->said_at;
+  return advert;
+}
+
+std::optional<state::HostAdvert> GathererRoster::OwnAccountant(
+    state::TimePoint now) const {
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  return this->OwnLeaderLocked(now);
+}
+
+std::vector<state::HostAdvert> GathererRoster::OtherAccountants(
+    state::TimePoint now) const {
+  return this->LeadersExcept(this->own.domain, false, now);
+}
+
+std::vector<state::HostAdvert> GathererRoster::LeadersExcept(
+    const state::FailureDomainId& domain, bool takes_work,
+    state::TimePoint now) const {
+  std::vector<state::HostAdvert> leaders;
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  for (const auto& [other, entries] : this->domains) {
+    if (other == domain || other == this->own.domain) continue;
+    const Entry* leader = this->LeaderOf(entries, now);
+    if (leader == nullptr) continue;
+    leaders.push_back(leader->advert);
+    leaders.back().age = now - leader->said_at;
+  }
+  if (domain == this->own.domain) return leaders;
+  leaders.push_back(this->OwnLeaderLocked(now).value_or(this->own));
+  if (leaders.back().id == this->own.id) leaders.back().takes_work = takes_work;
+  return leaders;
+}
+
 void GathererRoster::Suspect(const state::HostId& host, state::TimePoint now) {
   const std::lock_guard<std::mutex> lock(this->mutex);
-  const auto found = this->domains.find(this->own.domain);
-  if (found == this->domains.end()) return;
-  const auto entry = found->second.find(host);
-  if (entry != found->second.end()) entry->second.suspected_at = now;
+  for (auto& [domain, entries] : this->domains) {
+    const auto entry = entries.find(host);
+    if (entry != entries.end()) entry->second.suspected_at = now;
+  }
 }
 
 void GathererRoster::Clear(const state::HostId& host,
--- a/src/coordination/routing/relay_admission.cc
+++ b/src/coordination/routing/relay_admission.cc
@@ -15,7 +15,7 @@
 QueueingDelayEstimate RelayAdmission::EstimateDelayFor(
     const RelayPart& part) const {
   return this->policies.delay_estimator.EstimateDelay(
-      part.service, {0, this->route.priority, this->deadline});
+      part.service, {0, this->priority, this->deadline});
 }
 
 RelayAdmissionResult RelayAdmission::CheckPart(const RelayPart& part,
--- a/src/coordination/routing/relay_executor.cc
+++ b/src/coordination/routing/relay_executor.cc
@@ -182,7 +182,7 @@
 
 void RelayExecutor::Enqueue(std::uint64_t number, const RelayRun& run,
                             const CapacityWait& wait) {
-  const QueuedRequest queued{number, run.Route().priority, run.Deadline()};
+  const QueuedRequest queued{number, run.Priority(), run.Deadline()};
   const state::ServiceId& service = wait.service;
   if (!this->queue.Enqueue(service, queued, this->clock.Now())) {
     this->Post(number, [this, service](RelayRun& full_run) {
--- a/src/coordination/routing/relay_run.cc
+++ b/src/coordination/routing/relay_run.cc
@@ -50,7 +50,7 @@
                                    policies.answer_delay.AnswerDelay())),
       parts(std::move(services)),
       counts(InitialCounts(route, this->parts.All().size())),
-      admission(policies, route, deadlines.hard),
+      admission(policies, this->Priority(), deadlines.hard),
       merger(route.top_k) {}
 
 RelayEffects RelayRun::Start(state::TimePoint now) {
--- a/src/coordination/routing/source_follower.cc
+++ b/src/coordination/routing/source_follower.cc
@@ -112,6 +112,7 @@
 
 void SourceFollower::OnSuccess() {
   this->failures = 0;
+  this->heard_at = this->clock.Now();
   if (!this->is_lost) return;
   this->is_lost = false;
   this->regained_at = this->clock.Now();
@@ -120,6 +121,12 @@
                                     this->regained_at - this->lost_at))}});
 }
 
+std::optional<state::Duration> SourceFollower::Age(state::TimePoint now) const {
+  const state::TimePoint heard = this->heard_at;
+  if (heard == state::TimePoint::min()) return std::nullopt;
+  return now - heard;
+}
+
 RemovalMode SourceFollower::RemovalModeOf(const RoutingBatch& batch) const {
   if (batch.defers_removals) return RemovalMode::kDeferred;
   const bool has_just_returned =
--- a/src/protocol/fleet_codec.cc
+++ b/src/protocol/fleet_codec.cc
@@ -18,6 +18,8 @@
 constexpr const char* kRoutesHeader = "Banyanknot-Routes-Version";
 constexpr const char* kElapsedHeader = "Banyanknot-Elapsed-Us";
 constexpr const char* kOutsideHeader = "Banyanknot-Outside-Us";
+constexpr const char* kWorkspaceHeader = "Banyanknot-Workspace";
+constexpr const char* kPriorityHeader = "Banyanknot-Priority";
 /// Hosts of other protocol versions don't pass requests to each other.
 constexpr const char* kProtocolVersion = "1";
 
@@ -118,6 +120,91 @@
   return adverts;
 }
 
+namespace {
+
+constexpr std::uint64_t kMaxCredit = 1'000'000;
+constexpr std::uint64_t kMaxHosts = 1'000'000;
+constexpr double kMaxRate = 1'000'000;
+
+coordination::KnownHosts ReadKnownHosts(JsonReader& reader) {
+  return {static_cast<std::size_t>(reader.Unsigned("hosts", kMaxHosts)),
+          reader.BoolOr("settled", false)};
+}
+
+/// Reads a number from 0 to kMaxRate.
+double ReadRate(JsonReader& reader, const char* member) {
+  const nlohmann::json& value = reader.AnyOrNull(member);
+  const double rate = value.is_number() ? value.get<double>() : -1;
+  if (rate >= 0 && rate <= kMaxRate) return rate;
+  reader.Fail(ProtocolErrorCode::kOutOfRange, member,
+              "must be a number of at least 0");
+  return 0;
+}
+
+}  // namespace
+
+std::string EncodeCreditRequest(const coordination::CreditRequest& request) {
+  return nlohmann::json{{"action", std::string(NameOf(request.action))},
+                        {"host", request.host.Text()},
+                        {"workspace", request.workspace.Text()},
+                        {"rate", request.quota.rate},
+                        {"burst", request.quota.burst},
+                        {"version", request.routes_version},
+                        {"count", request.count},
+                        {"hosts", request.known_hosts.count},
+                        {"settled", request.known_hosts.is_settled}}
+      .dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
+state::Result<coordination::CreditRequest, ProtocolError> DecodeCreditRequest(
+    const std::string& text) {
+  const state::Result<nlohmann::json, ProtocolError> document =
+      ParseJson(text, kMaxCreditBytes);
+  if (!state::IsOk(document)) return state::ErrorOf(document);
+  JsonReader reader(state::ValueOf(document), "");
+  coordination::CreditRequest request;
+  const std::optional<coordination::CreditAction> action = state::FindValue(
+      coordination::kCreditActionNames, reader.String("action"));
+  if (!action) {
+    reader.Fail(ProtocolErrorCode::kUnknownName, "action", "is unknown");
+  }
+  request.action = action.value_or(coordination::CreditAction::kTake);
+  request.host = state::HostId(ReadName(reader, "host"));
+  request.workspace = state::WorkspaceId(reader.String("workspace"));
+  request.quota.rate = ReadRate(reader, "rate");
+  request.quota.burst = ReadRate(reader, "burst");
+  request.routes_version = reader.Unsigned("version", kMaxRevision);
+  request.count = static_cast<unsigned>(reader.Unsigned("count", kMaxCredit));
+  request.known_hosts = ReadKnownHosts(reader);
+  if (reader.Error()) return *reader.Error();
+  return request;
+}
+
+std::string EncodeCreditGrant(const coordination::CreditGrant& grant) {
+  return nlohmann::json{
+      {"granted", grant.granted},
+      {"retry_ms",
+       std::max<std::int64_t>(0, state::ToMilliseconds(grant.retry_after))},
+      {"hosts", grant.known_hosts.count},
+      {"settled", grant.known_hosts.is_settled}}
+      .dump();
+}
+
+state::Result<coordination::CreditGrant, ProtocolError> DecodeCreditGrant(
+    const std::string& text) {
+  const state::Result<nlohmann::json, ProtocolError> document =
+      ParseJson(text, kMaxCreditBytes);
+  if (!state::IsOk(document)) return state::ErrorOf(document);
+  JsonReader reader(state::ValueOf(document), "");
+  coordination::CreditGrant grant;
+  grant.granted = static_cast<unsigned>(reader.Unsigned("granted", kMaxCredit));
+  grant.retry_after = state::Milliseconds(
+      static_cast<std::int64_t>(reader.Unsigned("retry_ms", kMaxAgeMs)));
+  grant.known_hosts = ReadKnownHosts(reader);
+  if (reader.Error()) return *reader.Error();
+  return grant;
+}
+
 std::string EncodePassedChanges(const coordination::PassedChanges& passed) {
   nlohmann::json changes = nlohmann::json::array();
   for (const coordination::EncodedChange& change : passed.changes) {
@@ -204,6 +291,13 @@
       {kElapsedHeader, std::to_string(ToMicroseconds(delegation.elapsed))});
   request.headers.push_back({kOutsideHeader, std::to_string(ToMicroseconds(
                                                  delegation.outside_time))});
+  if (!delegation.workspace.IsEmpty()) {
+    request.headers.push_back({kWorkspaceHeader, delegation.workspace.Text()});
+  }
+  if (delegation.priority) {
+    request.headers.push_back(
+        {kPriorityHeader, std::to_string(*delegation.priority)});
+  }
 }
 
 state::Result<DelegationHeader, ProtocolErrorCode> TakeDelegationHeader(
@@ -216,15 +310,21 @@
       ParseMicroseconds(HeaderValue(request.headers, kElapsedHeader));
   const std::optional<state::Duration> outside_time =
       ParseMicroseconds(HeaderValue(request.headers, kOutsideHeader));
+  const std::string priority_text(
+      HeaderValue(request.headers, kPriorityHeader));
+  const std::optional<unsigned> priority = ParseWhole<unsigned>(priority_text);
   if (version != kProtocolVersion || !routes_version || !elapsed ||
-      !outside_time) {
+      !outside_time || (!priority_text.empty() && !priority)) {
     return ProtocolErrorCode::kMalformed;
   }
-  for (const char* name :
-       {kVersionHeader, kRoutesHeader, kElapsedHeader, kOutsideHeader}) {
+  state::WorkspaceId workspace(
+      std::string(HeaderValue(request.headers, kWorkspaceHeader)));
+  for (const char* name : {kVersionHeader, kRoutesHeader, kElapsedHeader,
+                           kOutsideHeader, kWorkspaceHeader, kPriorityHeader}) {
     RemoveHeader(request.headers, name);
   }
-  return DelegationHeader{*routes_version, *elapsed, *outside_time};
+  return DelegationHeader{*routes_version, *elapsed, *outside_time,
+                          std::move(workspace), priority};
 }
 
 }  // namespace banyanknot::protocol
--- a/src/protocol/json_schema_texts.cc
+++ b/src/protocol/json_schema_texts.cc
@@ -67,6 +67,12 @@
     "stop_bound_ms": {"type": "integer", "minimum": 0, "maximum": 600000},
     "stop_grace_s": {"type": "number", "minimum": 1, "maximum": 600},
     "extra_request_share": {"type": "number", "minimum": 0, "maximum": 1},
+    "strict_revocation": {"type": "boolean"},
+    "revocation_ms": {"type": "integer", "minimum": 0, "maximum": 600000},
+    "quota_window_s": {"type": "number", "exclusiveMinimum": 0, "maximum": 600},
+    "quota_over": {"type": "number", "minimum": 0, "maximum": 10},
+    "quota_slack": {"type": "number", "minimum": 0, "maximum": 1000000},
+    "domains": {"type": "array", "minItems": 1, "maxItems": 64, "uniqueItems": true, "items": {"type": "string", "minLength": 1, "maxLength": 64}},
     "log_severity": {"enum": ["info", "warning", "error"]}
   },
   "definitions": {
--- a/src/state/routing/route_table.cc
+++ b/src/state/routing/route_table.cc
@@ -16,11 +16,13 @@
 }
 
 RouteTable::RouteTable(std::uint64_t version, std::vector<Route> routes,
-                       std::vector<ServiceSpec> services, CallerLimits limits)
+                       std::vector<ServiceSpec> services, CallerLimits limits,
+                       std::optional<std::vector<Workspace>> workspaces)
     : version(version),
       routes(std::move(routes)),
       services(std::move(services)),
-      limits(limits) {
+      limits(limits),
+      requires_keys(workspaces.has_value()) {
   for (std::size_t index = 0; index < this->routes.size(); ++index) {
     const Route& route = this->routes[index];
     this->route_by_key.emplace(route.host + route.prefix, index);
@@ -28,6 +30,27 @@
   for (std::size_t index = 0; index < this->services.size(); ++index) {
     this->service_by_id.emplace(this->services[index].id, index);
   }
+  if (!workspaces) return;
+  for (Workspace& workspace : *workspaces) {
+    const WorkspacePtr shared =
+        std::make_shared<const Workspace>(std::move(workspace));
+    this->workspaces.push_back(shared);
+    this->workspace_by_id.emplace(shared->id, shared);
+    this->has_quotas = this->has_quotas || shared->quota.IsLimited();
+    for (const KeyDigest& key : shared->keys) {
+      this->workspace_by_key.emplace(key, shared);
+    }
+  }
+}
+
+WorkspacePtr RouteTable::FindWorkspaceById(const WorkspaceId& id) const {
+  const auto found = this->workspace_by_id.find(id);
+  return found == this->workspace_by_id.end() ? nullptr : found->second;
+}
+
+WorkspacePtr RouteTable::FindWorkspace(const KeyDigest& key) const {
+  const auto found = this->workspace_by_key.find(key);
+  return found == this->workspace_by_key.end() ? nullptr : found->second;
 }
 
 const Route* RouteTable::Match(std::string_view host,
--- a/src/transport/host_http_link.cc
+++ b/src/transport/host_http_link.cc
@@ -25,6 +25,7 @@
 constexpr state::Duration kFollowMargin = state::Milliseconds(300);
 constexpr state::Duration kSnapshotTimeout = state::Milliseconds(1'000);
 constexpr unsigned kHttpOk = 200;
+constexpr unsigned kHttpUnavailable = 503;
 constexpr unsigned kFirstFailure = 400;
 
 coordination::DelegationFailure FailureOf(TransportError error) {
@@ -60,7 +61,10 @@
     return coordination::DelegationFailure::kDeclined;
   }
   protocol::RemoveHeader(response.headers, protocol::kGatheredHeader);
-  return codec.DecodeReply(std::move(response));
+  coordination::RelayReply reply = codec.DecodeReply(std::move(response));
+  // A gather's own refusal, since the parts of servers are merged.
+  if (reply.status == kHttpUnavailable) reply.is_proven_not_run = true;
+  return reply;
 }
 
 }  // namespace
@@ -105,7 +109,8 @@
   call.request = this->codec.EncodeDelegated(*request.request);
   protocol::AddDelegationHeader(
       {request.routes_version, now - request.request->received_at,
-       request.request->outside_time.value_or(state::Duration(0))},
+       request.request->outside_time.value_or(state::Duration(0)),
+       request.request->workspace, request.request->priority},
       call.request);
   call.send_before = now + kConnectTimeout;
   call.deadline = request.deadline;
@@ -144,6 +149,30 @@
   });
 }
 
+void HostHttpLink::AskCredit(const state::Endpoint& host,
+                             const coordination::CreditRequest& request,
+                             state::Duration timeout,
+                             coordination::CreditHandler handler) {
+  HttpCall call(AcceptAnyResponse);
+  call.request = {"POST", protocol::kCreditPath,
+                  protocol::EncodeCreditRequest(request)};
+  call.deadline = this->clock.Now() + timeout;
+  call.send_before = call.deadline;
+  call.max_response_bytes = protocol::kMaxCreditBytes;
+  this->PoolOf(host)->Call(std::move(call), [handler = std::move(handler)](
+                                                const HttpCallResult& result) {
+    if (!state::IsOk(result) || state::ValueOf(result).status != kHttpOk) {
+      handler(std::nullopt);
+      return;
+    }
+    const state::Result<coordination::CreditGrant, protocol::ProtocolError>
+        grant = protocol::DecodeCreditGrant(state::ValueOf(result).body);
+    handler(state::IsOk(grant) ? std::optional<coordination::CreditGrant>(
+                                     state::ValueOf(grant))
+                               : std::nullopt);
+  });
+}
+
 void HostHttpLink::GetChanges(const state::Endpoint& host,
                               const std::string& target,
                               state::Duration timeout,
--- a/test/platform/edge/edge_world.cc
+++ b/test/platform/edge/edge_world.cc
@@ -1,6 +1,10 @@
 #include "platform/edge/edge_world.h"
 
+#include <sys/resource.h>
+
+#include <filesystem>
 #include <fstream>
+#include <iterator>
 #include <utility>
 
 #include "platform/wire_names.h"
@@ -77,11 +81,35 @@
   std::ofstream(this->settings_path) << this->settings.dump();
 }
 
+void EdgeProcess::SetMemory(std::size_t megabytes) {
+  this->settings["memory_mb"] = megabytes;
+  std::ofstream(this->settings_path) << this->settings.dump();
+}
+
+void EdgeProcess::KeepQuotas(const std::vector<std::string>& domains) {
+  this->settings["quota_window_s"] = 5;
+  this->settings["quota_over"] = 0.25;
+  this->settings["quota_slack"] = 20;
+  this->settings["domains"] = domains;
+  std::ofstream(this->settings_path) << this->settings.dump();
+}
+
+void EdgeProcess::SetMaxDescriptors(std::size_t count) {
+  this->max_descriptors = count;
+}
+
 void EdgeProcess::Start() {
+  rlimit own{};
+  getrlimit(RLIMIT_NOFILE, &own);
+  if (this->max_descriptors != 0) {
+    const rlimit lowered{this->max_descriptors, own.rlim_max};
+    setrlimit(RLIMIT_NOFILE, &lowered);  // inherited by the process
+  }
   this->process = std::make_unique<standins::ChildProcess>(
       BANYANKNOT_EDGE_PROGRAM,
       std::vector<std::string>{"--settings=" + this->settings_path},
       this->folder.Path() + "/errors", this->log_file);
+  setrlimit(RLIMIT_NOFILE, &own);
 }
 
 std::optional<json> EdgeProcess::WaitForEvent(const std::string& name,
@@ -99,17 +127,43 @@
   return state::IsOk(result) && state::ValueOf(result).status == 200;
 }
 
-std::size_t EdgeProcess::PeakResidentKb() const {
+std::size_t EdgeProcess::ReadStatusKb(const std::string& field) const {
   std::ifstream status("/proc/" + std::to_string(this->process->Pid()) +
                        "/status");
   std::string word;
   while (status >> word) {
     std::size_t kilobytes = 0;
-    if (word == "VmHWM:" && status >> kilobytes) return kilobytes;
+    if (word == field && status >> kilobytes) return kilobytes;
   }
   return 0;
 }
 
+std::size_t EdgeProcess::PeakResidentKb() const {
+  return this->ReadStatusKb("VmHWM:");
+}
+
+std::size_t EdgeProcess::ResidentKb() const {
+  return this->ReadStatusKb("VmRSS:");
+}
+
+std::uint64_t EdgeProcess::ProcessorTicks() const {
+  constexpr int kFieldsBefore = 13;
+  std::ifstream status("/proc/" + std::to_string(this->process->Pid()) +
+                       "/stat");
+  std::string word;
+  for (int field = 0; field < kFieldsBefore; ++field) status >> word;
+  std::uint64_t user = 0;
+  std::uint64_t system = 0;
+  status >> user >> system;
+  return user + system;
+}
+
+std::size_t EdgeProcess::OpenDescriptors() const {
+  const std::filesystem::directory_iterator entries(
+      "/proc/" + std::to_string(this->process->Pid()) + "/fd");
+  return static_cast<std::size_t>(std::distance(begin(entries), end(entries)));
+}
+
 EdgeWorld::EdgeWorld() {
   for (const char* id : {"d1", "d2", "s0", "s1"}) {
     // A gather needs records of 16 bytes, which the request id alone has.
@@ -144,7 +198,8 @@
                    {"born", 1}});
 }
 
-void EdgeWorld::PutRoutes(std::uint64_t version, std::size_t max_body_bytes) {
+json EdgeWorld::RoutesJson(std::uint64_t version, std::size_t max_body_bytes,
+                           state::Duration header_timeout) {
   json desk = RouteJson("desk", "/desk/", "idempotent");
   desk["Service"] = "desk";
   json once = RouteJson("once", "/once/", "non_idempotent");
@@ -153,17 +208,28 @@
   all["Gather"] = {"shard0", "shard1"};
   all["TopK"] = 4;
   all["MinCoverage"] = 0.5;
-  this->store.Put(
-      wire::kRoutesKey,
-      {{"Version", version},
-       {"Routes", {desk, once, all}},
-       {"Services",
-        {ServiceJson("desk"), ServiceJson("shard0"), ServiceJson("shard1")}},
-       {"Limits",
-        {{"MaxHeaderBytes", 4'096},
-         {"MaxBodyBytes", max_body_bytes},
-         {"HeaderTimeoutMs", 3'000},
-         {"IdleTimeoutMs", 10'000}}}});
+  return {{"Version", version},
+          {"Routes", {desk, once, all}},
+          {"Services",
+           {ServiceJson("desk"), ServiceJson("shard0"), ServiceJson("shard1")}},
+          {"Limits",
+           {{"MaxHeaderBytes", 4'096},
+            {"MaxBodyBytes", max_body_bytes},
+            {"HeaderTimeoutMs", state::ToMilliseconds(header_timeout)},
+            {"IdleTimeoutMs", 10'000}}}};
+}
+
+void EdgeWorld::PutRoutes(std::uint64_t version, std::size_t max_body_bytes,
+                          state::Duration header_timeout) {
+  this->store.Put(wire::kRoutesKey,
+                  RoutesJson(version, max_body_bytes, header_timeout));
+}
+
+void EdgeWorld::PutWorkspaces(std::uint64_t version, const json& workspaces) {
+  json routes = RoutesJson(version, 8'192, state::Milliseconds(3'000));
+  routes["Routes"][0]["AuthExempt"] = true;
+  routes["Tenants"] = workspaces;
+  this->store.Put(wire::kRoutesKey, routes);
 }
 
 }  // namespace banyanknot::platform::edge_testing
--- a/test/platform/edge/edge_world.h
+++ b/test/platform/edge/edge_world.h
@@ -37,6 +37,12 @@
   void SetStopTimes(state::Duration leave_grace, state::Duration stop_bound);
   /// \brief Sets the time from SIGTERM to SIGKILL; before Start().
   void SetStopGrace(double seconds);
+  /// \brief Sets the memory that it is told to have; before Start().
+  void SetMemory(std::size_t megabytes);
+  /// \brief Makes it keep quotas in a fleet of these domains; before Start().
+  void KeepQuotas(const std::vector<std::string>& domains);
+  /// \brief Limits its open file descriptors; before Start().
+  void SetMaxDescriptors(std::size_t count);
   const std::string& SettingsPath() const { return this->settings_path; }
 
   void Start();
@@ -52,8 +58,14 @@
   bool IsReady();
   /// \brief Returns the most memory that was resident since its start.
   std::size_t PeakResidentKb() const;
+  std::size_t ResidentKb() const;
+  std::size_t OpenDescriptors() const;
+  /// \brief Returns the processor time that it has used, in clock ticks.
+  std::uint64_t ProcessorTicks() const;
 
  private:
+  std::size_t ReadStatusKb(const std::string& field) const;
+
   const std::string id;
   const std::string log_file;
   standins::TemporaryFolder folder;
@@ -64,6 +76,7 @@
   std::string settings_path;
   nlohmann::json settings;
   std::unique_ptr<standins::ChildProcess> process;
+  std::size_t max_descriptors = 0;  // 0 for that of the test
 };
 
 /// \brief A store with routes, and the servers registered in it.
@@ -87,11 +100,18 @@
   void Register(const ServerStandIn& server, std::uint16_t port = 0);
   /// \brief Registers the server `id` at an address.
   void Register(const std::string& id, std::uint16_t port);
-  void PutRoutes(std::uint64_t version, std::size_t max_body_bytes = 8'192);
+  void PutRoutes(std::uint64_t version, std::size_t max_body_bytes = 8'192,
+                 state::Duration header_timeout = state::Milliseconds(3'000));
+  /// \brief Publishes the routes with workspaces; /desk/ needs no key.
+  void PutWorkspaces(std::uint64_t version, const nlohmann::json& workspaces);
 
   static constexpr const char* kHost = "desk.example";
 
  private:
+  static nlohmann::json RoutesJson(std::uint64_t version,
+                                   std::size_t max_body_bytes,
+                                   state::Duration header_timeout);
+
   StoreStandIn store;
   standins::FreePorts ports;
   std::vector<std::unique_ptr<ServerStandIn>> servers;
--- a/test/platform/edge/raw_caller.cc
+++ b/test/platform/edge/raw_caller.cc
@@ -59,6 +59,15 @@
   return this->Read();
 }
 
+std::optional<RawCaller::Response> RawCaller::CallWith(
+    const std::string& headers, const std::string& target,
+    const std::string& request_id) {
+  std::string request = Request(target, request_id);
+  request.insert(request.size() - std::string("\r\n").size(), headers);
+  this->Write(request);
+  return this->Read();
+}
+
 std::string RawCaller::Request(const std::string& target,
                                const std::string& request_id,
                                const std::string& method,
--- a/test/platform/edge/raw_caller.h
+++ b/test/platform/edge/raw_caller.h
@@ -34,6 +34,10 @@
                                const std::string& request_id,
                                const std::string& method = "GET",
                                const std::string& body = "");
+  /// \brief As Call(), with headers of the caller's own, each ended by CR LF.
+  std::optional<Response> CallWith(const std::string& headers,
+                                   const std::string& target,
+                                   const std::string& request_id);
 
   /// \brief Returns a request with the headers that the platform's callers
   /// send.
--- a/test/platform/edge/server_stand_in.cc
+++ b/test/platform/edge/server_stand_in.cc
@@ -63,6 +63,16 @@
   return this->abandoned_requests;
 }
 
+std::map<std::string, std::size_t> ServerStandIn::RunsByWorkspace() const {
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  return this->runs_by_workspace;
+}
+
+bool ServerStandIn::HasSeenKey() const {
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  return this->has_seen_key;
+}
+
 std::string ServerStandIn::LastBody() const {
   const std::lock_guard<std::mutex> lock(this->mutex);
   return this->last_body;
@@ -104,6 +114,9 @@
       return;
     }
     ++this->runs[request_id];
+    ++this->runs_by_workspace[HeaderOf(*exchange, wire::kWorkspace)];
+    this->has_seen_key = this->has_seen_key ||
+                         !HeaderOf(*exchange, wire::kAuthorization).empty();
     this->last_body = exchange->Request().body;
   }
   // The dropped exchange closes its connection.
--- a/test/platform/edge/server_stand_in.h
+++ b/test/platform/edge/server_stand_in.h
@@ -47,6 +47,10 @@
   /// \brief Returns the number of requests whose connection closed before the
   /// reply.
   std::size_t AbandonedRequests() const;
+  /// \brief Returns the number of runs by the workspace that they name.
+  std::map<std::string, std::size_t> RunsByWorkspace() const;
+  /// \brief Returns true if a request had a caller's key.
+  bool HasSeenKey() const;
   /// \brief Returns the body of the last request that it ran.
   std::string LastBody() const;
 
@@ -63,6 +67,8 @@
   state::Duration service_time{0};
   std::map<std::string, std::size_t> runs;  // by request id
   std::size_t abandoned_requests = 0;
+  std::map<std::string, std::size_t> runs_by_workspace;
+  bool has_seen_key = false;
   std::string last_body;
   transport::SteadyClock clock;
   transport::IoThreads threads{1};
--- a/test/platform/entry_decoder_test.cc
+++ b/test/platform/entry_decoder_test.cc
@@ -2,12 +2,15 @@
 
 #include <rapidcheck.h>
 
+#include <boost/beast/core/detail/base64.hpp>
 #include <catch2/catch.hpp>
 #include <nlohmann/json.hpp>
 #include <string>
 #include <variant>
 #include <vector>
 
+#include "banyanknot/protocol/key_digest.h"
+
 namespace banyanknot::platform {
 namespace {
 
@@ -62,6 +65,132 @@
   CHECK((*table)->FindService(state::ServiceId("d"))->max_connections == 26);
 }
 
+/// Returns the example routes with workspaces.
+std::string RoutesWithWorkspaces(const json& workspaces) {
+  json document = json::parse(kRoutes);
+  document["Routes"][0]["AuthExempt"] = true;
+  document["Routes"][1]["AuthExempt"] = false;
+  document["Tenants"] = workspaces;
+  return document.dump();
+}
+
+json WorkspaceJson(const char* name, const json& keys) {
+  return {{"Name", name}, {"ApiKeys", keys}};
+}
+
+TEST_CASE("DecodeRoutes reads workspaces, their keys and quotas") {
+  json farm = WorkspaceJson("farm", {"secret-1", "secret-2"});
+  farm["Priority"] = 1;
+  farm["RatePerS"] = 7.5;
+  farm["Burst"] = 12;
+  const coordination::RoutingChange change = DecodeRoutes(RoutesWithWorkspaces(
+      json::array({farm, WorkspaceJson("idle", json::array())})));
+  const state::RouteTablePtr* table =
+      std::get_if<state::RouteTablePtr>(&change);
+  REQUIRE(table != nullptr);
+  CHECK((*table)->RequiresKeys());
+  CHECK((*table)->Workspaces().size() == 2);
+  CHECK_FALSE((*table)->Match("a.example", "/all/")->needs_key);
+  CHECK((*table)->Match("a.example", "/one/")->needs_key);
+  const state::WorkspacePtr found =
+      (*table)->FindWorkspace(protocol::DigestOfKey("secret-2"));
+  REQUIRE(found != nullptr);
+  CHECK(found->id.Text() == "farm");
+  CHECK(found->priority == 1u);
+  CHECK(found->quota == state::Quota{7.5, 12});
+  CHECK((*table)->FindWorkspace(protocol::DigestOfKey("secret")) == nullptr);
+  CHECK((*table)->FindWorkspace(state::KeyDigest("secret-1")) == nullptr);
+}
+
+TEST_CASE("Routes without workspaces require no keys") {
+  const coordination::RoutingChange change = DecodeRoutes(kRoutes);
+  CHECK_FALSE(std::get<state::RouteTablePtr>(change)->RequiresKeys());
+}
+
+TEST_CASE("Bad workspaces make the whole version unreadable") {
+  json without_name = WorkspaceJson("x", {"a"});
+  without_name.erase("Name");
+  json absurd = WorkspaceJson("x", {"a"});
+  absurd["RatePerS"] = 1e300;
+  json negative = WorkspaceJson("x", {"a"});
+  negative["Burst"] = -1;
+  json text = WorkspaceJson("x", {"a"});
+  text["RatePerS"] = "8";
+  const std::vector<json> rows = {
+      json("farm"),
+      json::array({1}),
+      json::array({without_name}),
+      json::array({WorkspaceJson("", {"a"})}),
+      json::array({WorkspaceJson("a\r\nb", {"a"})}),
+      json::array({WorkspaceJson(" a", {"a"})}),
+      json::array({WorkspaceJson("x", "a")}),
+      json::array({WorkspaceJson("x", {1})}),
+      json::array({WorkspaceJson("x", {""})}),
+      json::array({absurd}),
+      json::array({negative}),
+      json::array({text}),
+      json::array({WorkspaceJson("x", {"a"}), WorkspaceJson("x", {"b"})}),
+      json::array({WorkspaceJson("x", {"a"}), WorkspaceJson("y", {"b", "a"})}),
+  };
+  for (const json& row : rows) {
+    INFO(row.dump());
+    CHECK(std::holds_alternative<coordination::UnreadableEntry>(
+        DecodeRoutes(RoutesWithWorkspaces(row))));
+  }
+}
+
+std::string Base64Of(const std::string& bytes) {
+  namespace base64 = boost::beast::detail::base64;
+  std::string text(base64::encoded_size(bytes.size()), '\0');
+  text.resize(base64::encode(text.data(), bytes.data(), bytes.size()));
+  return text;
+}
+
+TEST_CASE("What is passed to other hosts holds digests in place of keys") {
+  const std::string routes = RoutesWithWorkspaces(
+      json::array({WorkspaceJson("farm", {"secret-1", "secret-2"})}));
+  const json item = {
+      {"Key", "op/config"}, {"Value", Base64Of(routes)}, {"Revision", 9u}};
+  const std::optional<coordination::EncodedChange> encoded = EncodeItem(item);
+  REQUIRE(encoded);
+  CHECK(encoded->revision == 9);
+  const std::optional<coordination::RoutingChange> decoded =
+      ItemDecoder().Decode(*encoded);
+  REQUIRE(decoded);
+  const state::RouteTablePtr* table =
+      std::get_if<state::RouteTablePtr>(&*decoded);
+  REQUIRE(table != nullptr);
+  CHECK((*table)->FindWorkspace(protocol::DigestOfKey("secret-1")) != nullptr);
+  const std::string passed_value = json::parse(encoded->text)["Value"];
+  for (const char* secret : {"secret-1", "secret-2"}) {
+    CHECK(passed_value.find(Base64Of(secret)) == std::string::npos);
+  }
+  namespace base64 = boost::beast::detail::base64;
+  std::string plain(base64::decoded_size(passed_value.size()), '\0');
+  base64::decode(plain.data(), passed_value.data(), passed_value.size());
+  CHECK(plain.find("secret") == std::string::npos);
+  CHECK(plain.find("ApiKeys") == std::string::npos);
+}
+
+TEST_CASE("Routes that can't be read are passed on without their content") {
+  for (const std::string& text :
+       {std::string(R"({"Tenants":[{"ApiKeys":["secret-1"]}]")"),
+        std::string(R"([{"ApiKeys":["secret-1"]}])")}) {
+    const std::optional<coordination::EncodedChange> encoded =
+        EncodeItem({{"Key", "op/config"}, {"Value", Base64Of(text)}});
+    REQUIRE(encoded);
+    CHECK(json::parse(encoded->text)["Value"] == "");
+  }
+  const std::string odd = R"({"Version":1,"Tenants":"secret-1"})";
+  const std::optional<coordination::EncodedChange> encoded =
+      EncodeItem({{"Key", "op/config"}, {"Value", Base64Of(odd)}});
+  REQUIRE(encoded);
+  const std::optional<coordination::RoutingChange> decoded =
+      ItemDecoder().Decode(*encoded);
+  REQUIRE(decoded);
+  CHECK(std::holds_alternative<coordination::UnreadableEntry>(*decoded));
+}
+
 TEST_CASE("DecodeServer reads the registration of a server") {
   const coordination::RoutingChange change = DecodeServer("i-1", kServer);
   const state::RegisteredServer* server =
--- a/test/platform/header_relay_codec_test.cc
+++ b/test/platform/header_relay_codec_test.cc
@@ -1,9 +1,12 @@
 #include "platform/header_relay_codec.h"
 
 #include <catch2/catch.hpp>
+#include <optional>
 #include <string>
+#include <vector>
 
 #include "banyanknot/protocol/hop_headers.h"
+#include "banyanknot/protocol/key_digest.h"
 
 namespace banyanknot::platform {
 namespace {
@@ -54,6 +57,77 @@
   }
 }
 
+/// Returns the key that a request is decoded with, sent with these values.
+std::optional<state::KeyDigest> KeySentAs(
+    const std::vector<std::string>& values) {
+  protocol::HttpRequest request = ExampleRequest();
+  for (const std::string& value : values) {
+    request.headers.push_back({"authorization", value});
+  }
+  return kCodec.DecodeRequest(request, state::TimePoint()).key;
+}
+
+TEST_CASE("The key of a request is read from its header") {
+  const state::KeyDigest key = protocol::DigestOfKey("if3882p5");
+  CHECK(KeySentAs({}) == std::nullopt);
+  CHECK(KeySentAs({"Token if3882p5"}) == key);
+  CHECK(KeySentAs({"token  if3882p5"}) == key);
+  for (const std::vector<std::string>& values :
+       std::vector<std::vector<std::string>>{{"if3882p5"},
+                                             {"Basic if3882p5"},
+                                             {"Token"},
+                                             {"Token "},
+                                             {""},
+                                             {"Token if3882p5 x"},
+                                             {"Token if3882p5", "Token a"}}) {
+    const std::optional<state::KeyDigest> other = KeySentAs(values);
+    REQUIRE(other);
+    CHECK(*other != key);
+  }
+}
+
+TEST_CASE("A server is told the workspace and never the key") {
+  protocol::HttpRequest request = ExampleRequest();
+  request.headers.push_back({"Authorization", "Token if3882p5"});
+  request.headers.push_back({"tenant", "forged"});
+  state::RelayRequest decoded =
+      kCodec.DecodeRequest(request, state::TimePoint());
+  CHECK(decoded.identity_headers.size() == 2);
+  coordination::RelaySend send;
+  // Without workspaces, the headers have no meaning and pass.
+  send.request = std::make_shared<const state::RelayRequest>(decoded);
+  const protocol::HttpRequest plain =
+      kCodec.EncodeSend(send, state::Milliseconds(9));
+  CHECK(HeaderValue(plain.headers, "Authorization") == "Token if3882p5");
+  CHECK(HeaderValue(plain.headers, "Tenant") == "forged");
+  decoded.identity_headers.clear();
+  decoded.workspace = state::WorkspaceId("farm");
+  send.request = std::make_shared<const state::RelayRequest>(decoded);
+  for (const protocol::HttpRequest& sent :
+       {kCodec.EncodeSend(send, state::Milliseconds(9)),
+        kCodec.EncodeDelegated(decoded)}) {
+    CHECK(HeaderValue(sent.headers, "Authorization").empty());
+    CHECK(protocol::CountHeaders(sent.headers, "Tenant") <= 1);
+    CHECK(HeaderValue(sent.headers, "Tenant") != "forged");
+  }
+  CHECK(HeaderValue(kCodec.EncodeSend(send, state::Milliseconds(9)).headers,
+                    "Tenant") == "farm");
+}
+
+TEST_CASE("Refusals of keys and quotas say what to do next") {
+  coordination::RelayAnswer answer;
+  answer.outcome = state::RelayOutcome::kUnauthorized;
+  const protocol::HttpResponse unauthorized =
+      kCodec.EncodeAnswer(answer, "abc");
+  CHECK(unauthorized.status == 401);
+  CHECK(HeaderValue(unauthorized.headers, "WWW-Authenticate") == "Token");
+  answer.outcome = state::RelayOutcome::kOverQuota;
+  answer.retry_after = state::Milliseconds(1'250);
+  const protocol::HttpResponse over_quota = kCodec.EncodeAnswer(answer, "abc");
+  CHECK(over_quota.status == 429);
+  CHECK(HeaderValue(over_quota.headers, "Retry-After") == "1.250");
+}
+
 TEST_CASE("DecodeReply classifies replies by status and headers") {
   struct Row {
     const char* name;
--- a/test/protocol/fleet_codec_test.cc
+++ b/test/protocol/fleet_codec_test.cc
@@ -87,6 +87,20 @@
   CHECK(state::ErrorOf(again) == ProtocolErrorCode::kMissing);
 }
 
+TEST_CASE("A delegation names the workspace and its priority") {
+  HttpRequest request;
+  AddDelegationHeader({9, {}, {}, state::WorkspaceId("farm"), 3}, request);
+  const state::Result<DelegationHeader, ProtocolErrorCode> taken =
+      TakeDelegationHeader(request);
+  REQUIRE(state::IsOk(taken));
+  CHECK(state::ValueOf(taken).workspace.Text() == "farm");
+  CHECK(state::ValueOf(taken).priority == 3u);
+  CHECK(request.headers.empty());
+  AddDelegationHeader({9, {}, {}, state::WorkspaceId("farm"), {}}, request);
+  request.headers.push_back({"Banyanknot-Priority", "-1"});
+  CHECK_FALSE(state::IsOk(TakeDelegationHeader(request)));
+}
+
 TEST_CASE("A delegation of another version or with odd numbers is malformed") {
   for (const char* name : {"Banyanknot-Hop", "Banyanknot-Routes-Version",
                            "Banyanknot-Elapsed-Us", "Banyanknot-Outside-Us"}) {
--- a/tools/check_platform_names.py
+++ b/tools/check_platform_names.py
@@ -18,7 +18,8 @@
     r"[\"'](WarmupLeftMs|WarmupPerS|WarmupS|HealthPath|MaxConns|RouteType|"
     r"non_idempotent|ObjectiveMs|TimeoutMs|MaxAttempts|MinCoverage|TopK|"
     r"MaxHeaderBytes|MaxBodyBytes|HeaderTimeoutMs|IdleTimeoutMs|AllowStale|"
-    r"HasMore|AsOf|WaitMs|InternalPorts|MachineClass|HeartbeatMs|born)[\"']")
+    r"HasMore|AsOf|WaitMs|InternalPorts|MachineClass|HeartbeatMs|born|"
+    r"Tenant|Tenants|ApiKeys|AuthExempt|RatePerS|StrictRevoke|RevokeMs)[\"']")
 
 
 def main():
