Bound what callers without limits make a host hold

Cause: request bodies were read by one call of the library, whose buffer keeps a trailer or a chunk's head until its end, however long; nothing summed what all callers hold; answers that nobody takes were held beside each other; the listeners for operators could take every descriptor, and an accept that failed without one was tried again at once.

Bodies are parsed as they arrive, and what stays unparsed is no longer than a head. MemoryAccount sums what callers hold, a quarter of the host's memory: unfinished requests, running ones with their copies, answers being written. When it runs short, those that hold most for longest without progress give way, refused with 503 before anything ran or cut off; small requests have a reserve. Other hosts have an account of their own, and the listeners for operators none. Connections are divided by the descriptors that the process may have; at the limit, the one that has waited longest for its caller is closed for a new one. Memory goes back to the system after a crowd.

From the review of this and of the quotas: a holder no longer makes itself give way, nor is a later response hit by an earlier request's turn; displaced connections still count; a caller's own delegation headers are removed; credit above a lowered burst is dropped; hosts that are cut off for minutes don't forget the others; credit isn't returned after a second; what a watcher passes on counts as old as it may be.

--- a/daemons/relay_application.cc
+++ b/daemons/relay_application.cc
@@ -1,7 +1,9 @@
 #include "relay_application.h"
 
+#include <sys/resource.h>
 #include <sys/stat.h>
 
+#include <algorithm>
 #include <atomic>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
@@ -14,6 +16,7 @@
 #include "banyanknot/Coordination"
 #include "banyanknot/Protocol"
 #include "banyanknot/Transport"
+#include "crowd_watch.h"
 #include "draw_seed.h"
 #include "failure_logger.h"
 #include "late_bound_readiness.h"
@@ -30,28 +33,30 @@
 /// Quantile of a route's reply times after which a request is hedged: one in
 /// twelve requests, half of what the extra-request budget allows.
 constexpr double kHedgeQuantile = 0.92;
-/// Leaves file descriptors for connections to servers.
-constexpr std::size_t kMaxCallerConnections = 2'500;
-/// Several for each host of a failure domain.
-constexpr std::size_t kMaxPeerConnections = 1'024;
 /// A caller's header at the limit that operators set, and this product's own.
 constexpr std::size_t kMaxPeerHeaderBytes = 64u << 10;
 constexpr std::size_t kMaxPeerBodyBytes = 4u << 20;
+/// Requests to the listeners for operators have no body.
+constexpr std::size_t kMaxStatusBodyBytes = 1u << 10;
 /// Time to read a body, added to the configured header timeout.
 constexpr state::Duration kBodyReadTimeout = state::Milliseconds(10'000);
 /// Share of the memory limit for replies that are still being received: 1/n.
 constexpr std::size_t kReceiveBudgetDivisor = 4;
+/// Share of the memory limit for what callers make this process hold: 1/n.
+constexpr std::size_t kCallerMemoryDivisor = 4;
+/// The same for other hosts, which a crowd of callers must not shut out.
+constexpr std::size_t kHostMemoryDivisor = 8;
 /// Interval of the check for a changed settings file.
 constexpr state::Duration kSettingsPollInterval = state::Milliseconds(5'000);
 
 transport::HttpServerLimits MakeHttpServerLimits(
-    const state::CallerLimits& limits) {
+    const state::CallerLimits& limits, std::size_t max_connections) {
   transport::HttpServerLimits converted;
   converted.max_header_bytes = limits.max_header_bytes;
   converted.max_body_bytes = limits.max_body_bytes;
   converted.idle_timeout = limits.idle_timeout;
   converted.read_timeout = limits.header_timeout + kBodyReadTimeout;
-  converted.max_connections = kMaxCallerConnections;
+  converted.max_connections = max_connections;
   return converted;
 }
 
@@ -82,9 +87,25 @@
   return advert;
 }
 
-transport::HttpServerLimits MakePeerServerLimits() {
+transport::HttpServerLimits MakeStatusServerLimits(
+    std::size_t max_connections) {
   transport::HttpServerLimits limits;
-  limits.max_connections = kMaxPeerConnections;
+  limits.max_connections = max_connections;
+  limits.max_body_bytes = kMaxStatusBodyBytes;
+  return limits;
+}
+
+/// Returns the number of file descriptors that this process may have open.
+std::size_t MaxDescriptors(const RelaySettings& settings) {
+  rlimit limit{};
+  if (getrlimit(RLIMIT_NOFILE, &limit) != 0) return settings.max_descriptors;
+  return static_cast<std::size_t>(
+      std::min<rlim_t>(limit.rlim_cur, settings.max_descriptors));
+}
+
+transport::HttpServerLimits MakePeerServerLimits(std::size_t max_connections) {
+  transport::HttpServerLimits limits;
+  limits.max_connections = max_connections;
   limits.max_header_bytes = kMaxPeerHeaderBytes;
   limits.max_body_bytes = kMaxPeerBodyBytes;
   return limits;
@@ -112,6 +133,12 @@
         timers(threads.Context()),
         random(DrawSeed()),
         servers(clock, settings.domain),
+        descriptors(coordination::ShareDescriptors(MaxDescriptors(settings))),
+        caller_memory(std::make_shared<coordination::MemoryAccount>(
+            clock, give_way,
+            settings.memory_limit_bytes / kCallerMemoryDivisor)),
+        host_memory(std::make_shared<coordination::MemoryAccount>(
+            clock, give_way, settings.memory_limit_bytes / kHostMemoryDivisor)),
         receive_budget(std::make_shared<transport::ReceiveBudget>(
             settings.memory_limit_bytes / kReceiveBudgetDivisor)),
         relay_client(threads.Context(), clock, codec, receive_budget, log),
@@ -145,28 +172,34 @@
         dispatcher(clock, timers, host_link, roster, routes, executor, log),
         peer_service(clock, codec, readiness, routes, roster, change_history,
                      timers, executor, quota_accountant),
-        peer_server(threads.Context(), peer_service, MakePeerServerLimits()),
+        peer_server(threads.Context(), peer_service,
+                    MakePeerServerLimits(descriptors.hosts), host_memory),
         workspace_guard(
             clock, routes, source_follower,
             {settings.source_contact_timeout, settings.key_lifetime},
             QuotaGateOf(settings), dispatcher, journal),
         front_service(clock, codec, readiness, workspace_guard),
         caller_server(threads.Context(), front_service,
-                      MakeHttpServerLimits({})),
-        host_metrics(log, readiness, routes, executor, threads,
-                     *receive_budget),
+                      MakeHttpServerLimits({}, descriptors.callers),
+                      caller_memory),
+        host_metrics(log, readiness, routes, executor, threads, *receive_budget,
+                     *caller_memory, caller_server),
+        crowd_watch(log, *caller_memory, caller_server),
         status_service(codec.ReadyPath(), readiness,
                        {&journal, &dispatcher, &shared_source, &relay_client,
                         &host_metrics, &quota_accountant}),
-        ready_server(threads.Context(), status_service, {}),
-        metrics_server(threads.Context(), status_service, {}),
+        ready_server(threads.Context(), status_service,
+                     MakeStatusServerLimits(descriptors.status)),
+        metrics_server(threads.Context(), status_service,
+                       MakeStatusServerLimits(descriptors.status)),
         stop_target(dispatcher, executor, caller_server, peer_server),
         stop_sequence(settings.id, clock, timers, policy_table, reachability,
                       stop_target, audit) {
     this->policy_table.Put(MakeFleetPolicyRecord(settings));
     this->readiness.Set(this->stop_sequence);
     this->intake.SetRoutesListener([this](const state::RouteTable& table) {
-      this->caller_server.SetLimits(MakeHttpServerLimits(table.Limits()));
+      this->caller_server.SetLimits(
+          MakeHttpServerLimits(table.Limits(), this->descriptors.callers));
       if (this->has_routes.exchange(true)) return;
       this->log.Write(coordination::EventCode::kHostReady,
                       {{"version", std::to_string(table.Version())}});
@@ -192,6 +225,10 @@
   coordination::SeededRandomSource random;
   coordination::RouteDirectory routes;
   coordination::ServerDirectory servers;
+  const coordination::DescriptorShares descriptors;
+  coordination::StalledFirstPolicy give_way;
+  const std::shared_ptr<coordination::MemoryAccount> caller_memory;
+  const std::shared_ptr<coordination::MemoryAccount> host_memory;
   const std::shared_ptr<transport::ReceiveBudget> receive_budget;
   transport::RelayHttpClient relay_client;
   coordination::ServerHealthChecker health_checker;
@@ -222,6 +259,7 @@
   RelayFrontService front_service;
   transport::HttpServer caller_server;
   RelayHostMetrics host_metrics;
+  CrowdWatch crowd_watch;
   RelayStatusService status_service;
   transport::HttpServer ready_server;
   transport::HttpServer metrics_server;
@@ -270,6 +308,7 @@
   if (modified_at_ns != this->parts->settings_modified_at_ns) {
     this->ReloadSettings();
   }
+  this->parts->crowd_watch.Check();
   this->parts->timers.RunAt(this->parts->clock.Now() + kSettingsPollInterval,
                             [this] { this->WatchSettings(); });
 }
--- a/daemons/relay_host_metrics.cc
+++ b/daemons/relay_host_metrics.cc
@@ -41,6 +41,32 @@
                      coordination::MetricKind::kCounter,
                      {},
                      static_cast<double>(this->receive_budget.Refusals())});
+  samples.push_back({"banyanknot_caller_memory_bytes",
+                     "Bytes that callers and other hosts make this host hold.",
+                     coordination::MetricKind::kGauge,
+                     {},
+                     static_cast<double>(this->caller_memory.HeldBytes())});
+  samples.push_back({"banyanknot_callers_gave_way_total",
+                     "Callers cut off because all together held too much.",
+                     coordination::MetricKind::kCounter,
+                     {},
+                     static_cast<double>(this->caller_memory.GaveWay())});
+  samples.push_back({"banyanknot_callers_without_memory_total",
+                     "Requests refused because callers held too much.",
+                     coordination::MetricKind::kCounter,
+                     {},
+                     static_cast<double>(this->caller_memory.Refusals())});
+  samples.push_back(
+      {"banyanknot_callers_displaced_total",
+       "Waiting connections of callers closed for new ones.",
+       coordination::MetricKind::kCounter,
+       {},
+       static_cast<double>(this->callers.DisplacedConnections())});
+  samples.push_back({"banyanknot_callers_not_admitted_total",
+                     "Connections of callers closed at once at the limit.",
+                     coordination::MetricKind::kCounter,
+                     {},
+                     static_cast<double>(this->callers.RefusedConnections())});
 }
 
 }  // namespace banyanknot::daemons
--- a/daemons/relay_host_metrics.h
+++ b/daemons/relay_host_metrics.h
@@ -3,11 +3,13 @@
 
 #include <vector>
 
+#include "banyanknot/coordination/memory/memory_account.h"
 #include "banyanknot/coordination/metric_source.h"
 #include "banyanknot/coordination/readiness.h"
 #include "banyanknot/coordination/routing/relay_executor.h"
 #include "banyanknot/coordination/routing/route_directory.h"
 #include "banyanknot/transport/boost_event_log.h"
+#include "banyanknot/transport/http_server.h"
 #include "banyanknot/transport/io_threads.h"
 #include "banyanknot/transport/receive_budget.h"
 
@@ -21,13 +23,17 @@
                    const coordination::RouteDirectory& routes,
                    const coordination::RelayExecutor& executor,
                    const transport::IoThreads& threads,
-                   const transport::ReceiveBudget& receive_budget)
+                   const transport::ReceiveBudget& receive_budget,
+                   const coordination::MemoryAccount& caller_memory,
+                   const transport::HttpServer& callers)
       : log(log),
         readiness(readiness),
         routes(routes),
         executor(executor),
         threads(threads),
-        receive_budget(receive_budget) {}
+        receive_budget(receive_budget),
+        caller_memory(caller_memory),
+        callers(callers) {}
 
   void CollectMetrics(
       std::vector<coordination::MetricSample>& samples) const override;
@@ -39,6 +45,8 @@
   const coordination::RelayExecutor& executor;
   const transport::IoThreads& threads;
   const transport::ReceiveBudget& receive_budget;
+  const coordination::MemoryAccount& caller_memory;
+  const transport::HttpServer& callers;
 };
 
 }  // namespace banyanknot::daemons
--- a/daemons/relay_settings.cc
+++ b/daemons/relay_settings.cc
@@ -102,6 +102,8 @@
       reader.MillisecondsOr("stop_bound_ms", settings.stop_timeout);
   settings.memory_limit_bytes = static_cast<std::size_t>(
       reader.UnsignedOr("memory_mb", kDefaultMemoryMb, kMaxMemoryMb) << 20);
+  settings.max_descriptors = static_cast<std::size_t>(reader.UnsignedOr(
+      "max_descriptors", settings.max_descriptors, settings.max_descriptors));
   settings.extra_request_share =
       reader.FractionOr("extra_request_share", settings.extra_request_share);
   settings.quota_rules = ReadQuotaRules(reader, settings.domain);
--- a/daemons/relay_settings.h
+++ b/daemons/relay_settings.h
@@ -37,6 +37,9 @@
   state::Duration stop_timeout = state::Milliseconds(5'500);
   /// Memory that the process may use; replies get a share of it.
   std::size_t memory_limit_bytes = std::size_t{256} << 20;
+  /// File descriptors that the process may have open, unless the system allows
+  /// fewer.
+  std::size_t max_descriptors = 1u << 20;
   double extra_request_share = 0.17;
   /// After this time without news of the source, a host accepts no keys;
   /// nothing if it goes on with those that it knows.
--- a/include/banyanknot/coordination/event_code.h
+++ b/include/banyanknot/coordination/event_code.h
@@ -46,6 +46,7 @@
   kReachRegained = 5012,
   kWatcherLeftOut = 5013,
   kQuotaAccountantChanged = 5014,
+  kCallersGaveWay = 5015,
   kSettingsReloaded = 5009,
   kSettingsRefused = 5010,
 };
@@ -59,7 +60,7 @@
 };
 
 /// \brief Every event, ordered by number.
-inline constexpr std::array<EventDescription, 35> kEventDescriptions{{
+inline constexpr std::array<EventDescription, 36> kEventDescriptions{{
     {EventCode::kHostStarting, "host_starting", LogSeverity::kInfo,
      "The process has read its settings and is starting."},
     {EventCode::kHostListening, "host_listening", LogSeverity::kInfo,
@@ -127,6 +128,8 @@
     {EventCode::kQuotaAccountantChanged, "quota_accountant_changed",
      LogSeverity::kInfo,
      "Another host keeps the accounts of this failure domain."},
+    {EventCode::kCallersGaveWay, "callers_gave_way", LogSeverity::kWarning,
+     "Callers were refused or cut off because all together held too much."},
     {EventCode::kSettingsReloaded, "settings_reloaded", LogSeverity::kInfo,
      "The settings file was reloaded."},
     {EventCode::kSettingsRefused, "settings_refused", LogSeverity::kError,
--- a/include/banyanknot/coordination/quota/asker_census.h
+++ b/include/banyanknot/coordination/quota/asker_census.h
@@ -28,7 +28,7 @@
   /// \brief A host that is silent for longer asks elsewhere or is gone.
   static constexpr state::Duration kAskerLifetime = state::Milliseconds(1'200);
   /// \brief A host that nobody has heard of for longer no longer counts.
-  static constexpr state::Duration kMemory = state::Milliseconds(60'000);
+  static constexpr state::Duration kMemory = state::Milliseconds(3'600'000);
 
   /// \brief While a host has just started and no settled one has told it how
   /// many others there are, it takes at least this many for granted.
@@ -41,6 +41,9 @@
   AskerCensus(state::HostId own, state::TimePoint started_at)
       : own(std::move(own)), started_at(started_at) {}
 
+  /// \brief Starts to learn anew, because quotas are in force from `now` on.
+  void Begin(state::TimePoint now);
+
   /// \brief Records that a host asks here.
   /// \param known what it knows of the domain
   void Record(const state::HostId& host, KnownHosts known,
@@ -59,8 +62,8 @@
   bool IsLearningLocked(state::TimePoint now) const;
 
   const state::HostId own;
-  const state::TimePoint started_at;
   mutable std::mutex mutex;
+  state::TimePoint started_at;
   std::map<state::HostId, state::TimePoint> asked_at;
   std::size_t claimed = 0;  // by other hosts
   state::TimePoint claimed_at;
--- a/include/banyanknot/coordination/quota/fleet_quota_gate.h
+++ b/include/banyanknot/coordination/quota/fleet_quota_gate.h
@@ -30,7 +30,7 @@
   /// \brief Begins to tell the accountant regularly that this host asks there.
   void Start();
 
-  void Acquire(const state::WorkspacePtr& workspace, state::TimePoint answer_by,
+  void Acquire(const state::WorkspacePtr& workspace,
                QuotaHandler handler) override;
   void Refund(const state::WorkspaceId& workspace) override;
 
@@ -60,6 +60,7 @@
   AccountantDirectory& directory;
   QuotaAccountant& accountant;
   EventLog& log;
+  bool has_begun = false;  // with the first quota; used by Announce() only
   std::mutex accountant_mutex;
   std::optional<state::HostId> asked_accountant;  // guarded by the mutex
   state::ShardedTable<state::WorkspaceId, Queue> queues;
--- a/include/banyanknot/coordination/quota/open_quota_gate.h
+++ b/include/banyanknot/coordination/quota/open_quota_gate.h
@@ -9,7 +9,7 @@
 class OpenQuotaGate : public QuotaGate {
  public:
   void Acquire(const state::WorkspacePtr& /*workspace*/,
-               state::TimePoint /*answer_by*/, QuotaHandler handler) override {
+               QuotaHandler handler) override {
     handler({});
   }
   void Refund(const state::WorkspaceId& /*workspace*/) override {}
--- a/include/banyanknot/coordination/quota/quota_accountant.h
+++ b/include/banyanknot/coordination/quota/quota_accountant.h
@@ -44,6 +44,8 @@
   KnownHosts Known(state::TimePoint now) const {
     return this->census.Known(now);
   }
+  /// \brief Starts to learn how many hosts there are, with the first quota.
+  void Begin(state::TimePoint now) { this->census.Begin(now); }
   void Learn(KnownHosts known, state::TimePoint now) {
     this->census.Learn(known, now);
   }
--- a/include/banyanknot/coordination/quota/quota_gate.h
+++ b/include/banyanknot/coordination/quota/quota_gate.h
@@ -22,13 +22,12 @@
   virtual ~QuotaGate() = default;
 
   /// \brief Takes the credit of one request.
-  /// \param answer_by the decision must be known by then
   /// \param handler called exactly once, possibly before Acquire() returns
   virtual void Acquire(const state::WorkspacePtr& workspace,
-                       state::TimePoint answer_by, QuotaHandler handler) = 0;
+                       QuotaHandler handler) = 0;
 
-  /// \brief Gives back the credit of a request that was admitted and reached no
-  /// server.
+  /// \brief Gives back the credit of a request that was admitted just now and
+  /// reached no server.
   virtual void Refund(const state::WorkspaceId& workspace) = 0;
 };
 
--- a/include/banyanknot/coordination/routing/source_follower.h
+++ b/include/banyanknot/coordination/routing/source_follower.h
@@ -42,7 +42,7 @@
   void Watch();
   void OnWatched(const state::Result<RoutingBatch, SourceFailure>& result);
   void OnFailure(SourceFailure failure);
-  void OnSuccess();
+  void OnSuccess(const RoutingBatch& batch);
   RemovalMode RemovalModeOf(const RoutingBatch& batch) const;
 
   const Clock& clock;
--- a/include/banyanknot/coordination/workspace/caller_check.h
+++ b/include/banyanknot/coordination/workspace/caller_check.h
@@ -37,8 +37,8 @@
 
 /// \brief How old a view may be to decide on keys.
 struct KeyViewLimits {
-  /// An older view may lack a key that was added since: an unknown key is not
-  /// refused for good.
+  /// An older view may lack a key, or a route without keys, that was added
+  /// since: an unknown or missing key is not refused for good.
   state::Duration unknown_key = state::Milliseconds(5'000);
   /// An older view may hold a key that was withdrawn since: no key is accepted.
   /// Nothing if a host that lost the source goes on accepting known keys.
--- a/include/banyanknot/coordination/workspace/workspace_guard.h
+++ b/include/banyanknot/coordination/workspace/workspace_guard.h
@@ -46,6 +46,7 @@
                       state::RelayRequest request, RelayAnswerHandler handler);
   void OnQuota(const std::shared_ptr<Order>& order,
                const QuotaDecision& decision);
+  bool MayRefund(const Order& order, const RelayAnswer& answer) const;
   void RunAdmitted(const std::shared_ptr<Order>& order);
 
   const Clock& clock;
--- a/include/banyanknot/transport/http_server.h
+++ b/include/banyanknot/transport/http_server.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <memory>
 
+#include "banyanknot/coordination/memory/memory_account.h"
 #include "banyanknot/protocol/http_message.h"
 #include "banyanknot/state/endpoint.h"
 #include "banyanknot/state/result.h"
@@ -45,6 +46,8 @@
 struct HttpServerLimits {
   std::size_t max_body_bytes = 1u << 20;
   std::size_t max_header_bytes = 16u << 10;
+  /// Beyond this, the connection that has waited longest for its caller is
+  /// closed for a new one; a new one is closed if there is none.
   std::size_t max_connections = 4096;
   /// Applies between requests.
   state::Duration idle_timeout = state::Milliseconds(300'000);
@@ -64,8 +67,10 @@
 /// 4xx response, after which their connection is closed.
 class HttpServer {
  public:
+  /// \param memory limits what all connections hold; null for no limit
   HttpServer(boost::asio::io_context& context, HttpHandler& handler,
-             HttpServerLimits limits);
+             HttpServerLimits limits,
+             std::shared_ptr<coordination::MemoryAccount> memory = nullptr);
   ~HttpServer();
 
   /// \brief Starts listening; port 0 selects any free port.
@@ -92,6 +97,9 @@
 
   /// \brief Returns how many connections were closed because of the limit.
   std::uint64_t RefusedConnections() const;
+  /// \brief Returns how many connections that waited for their caller were
+  /// closed to admit new ones.
+  std::uint64_t DisplacedConnections() const;
 
   struct Impl;
 
--- a/src/coordination/quota/asker_census.cc
+++ b/src/coordination/quota/asker_census.cc
@@ -10,6 +10,11 @@
 
 }  // namespace
 
+void AskerCensus::Begin(state::TimePoint now) {
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  this->started_at = now;
+}
+
 void AskerCensus::Record(const state::HostId& host, KnownHosts known,
                          state::TimePoint now) {
   {
--- a/src/coordination/quota/fleet_quota_gate.cc
+++ b/src/coordination/quota/fleet_quota_gate.cc
@@ -10,13 +10,13 @@
 namespace {
 
 /// An accountant that borrows asks up to all other failure domains first.
-constexpr state::Duration kAskTimeout = state::Milliseconds(80);
+constexpr state::Duration kAskTimeout = state::Milliseconds(45);
 /// Hosts asked before this one decides by itself.
 constexpr unsigned kMaxAsked = 2;
 /// Several times within AskerCensus::kAskerLifetime.
 constexpr state::Duration kAnnounceInterval = state::Milliseconds(500);
 /// An unused refund lapses: its credit has accrued anew by then.
-constexpr state::Duration kRefundLifetime = state::Milliseconds(2'000);
+constexpr state::Duration kRefundLifetime = state::Milliseconds(1'000);
 
 }  // namespace
 
@@ -46,7 +46,11 @@
   const state::TimePoint now = this->clock.Now();
   const state::RouteTablePtr table = this->routes.Current();
   const std::optional<state::HostAdvert> target = this->Accountant(now);
-  if (table != nullptr && table->HasQuotas() && target) {
+  const bool has_quotas = table != nullptr && table->HasQuotas();
+  if (has_quotas && !std::exchange(this->has_begun, true)) {
+    this->accountant.Begin(now);
+  }
+  if (has_quotas && target) {
     this->link.AskCredit(
         target->endpoint, this->MakeRequest(now), kAskTimeout,
         [this, id = target->id](const std::optional<CreditGrant>& grant) {
@@ -93,7 +97,6 @@
 }
 
 void FleetQuotaGate::Acquire(const state::WorkspacePtr& workspace,
-                             state::TimePoint /*answer_by*/,
                              QuotaHandler handler) {
   const state::TimePoint now = this->clock.Now();
   bool is_refunded = false;
--- a/src/coordination/quota/quota_account.cc
+++ b/src/coordination/quota/quota_account.cc
@@ -24,6 +24,10 @@
                           state::TimePoint now) {
   const double elapsed_s = std::max(0.0, SecondsOf(now - this->refilled_at));
   this->refilled_at = std::max(this->refilled_at, now);
+  // Borrowed credit stays, but not that of a quota that has been lowered.
+  if (new_share.capacity < this->share.capacity) {
+    this->credit = std::min(this->credit, new_share.capacity);
+  }
   this->share = new_share;
   // Borrowed credit may exceed the capacity; what accrues may not.
   const double room = std::max(0.0, new_share.capacity - this->credit);
--- a/src/coordination/quota/quota_accountant.cc
+++ b/src/coordination/quota/quota_accountant.cc
@@ -10,7 +10,7 @@
 
 /// Several times a round trip between failure domains, well within the
 /// objectives of callers.
-constexpr state::Duration kBorrowTimeout = state::Milliseconds(15);
+constexpr state::Duration kBorrowTimeout = state::Milliseconds(10);
 /// After all other domains had nothing to lend, they are not asked again for
 /// this long.
 constexpr state::Duration kDryTime = state::Milliseconds(150);
@@ -62,8 +62,8 @@
   }
   const state::WorkspacePtr workspace =
       table->FindWorkspaceById(request.workspace);
-  // Its requests run under an older version, whose quota no longer counts.
-  if (workspace == nullptr) return state::Quota();
+  // Hosts with an older version go on serving it.
+  if (workspace == nullptr) return request.quota;
   return workspace->quota;
 }
 
--- a/src/coordination/routing/source_follower.cc
+++ b/src/coordination/routing/source_follower.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <string>
 
+#include "banyanknot/coordination/delegation/shared_source.h"
+
 namespace banyanknot::coordination {
 namespace {
 
@@ -49,7 +51,7 @@
     return;
   }
   const RoutingBatch& batch = state::ValueOf(result);
-  if (!batch.is_stale) this->OnSuccess();
+  if (!batch.is_stale) this->OnSuccess(batch);
   this->intake.ApplyAll(batch, this->RemovalModeOf(batch));
   this->revision = batch.revision;
   this->has_read = true;
@@ -74,7 +76,7 @@
     return;
   }
   const RoutingBatch& batch = state::ValueOf(result);
-  if (!batch.is_stale) this->OnSuccess();
+  if (!batch.is_stale) this->OnSuccess(batch);
   this->intake.Apply(batch, this->RemovalModeOf(batch));
   this->revision = std::max(this->revision, batch.revision);
   // Another host has batched the changes that it passes on.
@@ -110,9 +112,11 @@
   });
 }
 
-void SourceFollower::OnSuccess() {
+void SourceFollower::OnSuccess(const RoutingBatch& batch) {
   this->failures = 0;
-  this->heard_at = this->clock.Now();
+  // What another host passes on may be that old.
+  const state::TimePoint now = this->clock.Now();
+  this->heard_at = batch.is_passed_on ? now - SharedSource::kMaxAge : now;
   if (!this->is_lost) return;
   this->is_lost = false;
   this->regained_at = this->clock.Now();
--- a/src/coordination/workspace/caller_check.cc
+++ b/src/coordination/workspace/caller_check.cc
@@ -15,8 +15,10 @@
                            const std::optional<state::KeyDigest>& key,
                            const std::optional<state::Duration>& view_age,
                            const KeyViewLimits& limits) {
+  const bool may_refuse = IsWithin(view_age, limits.unknown_key);
   if (!key) {
-    return {route.needs_key ? CallerVerdict::kNoKey : CallerVerdict::kAnonymous,
+    if (!route.needs_key) return {CallerVerdict::kAnonymous, nullptr};
+    return {may_refuse ? CallerVerdict::kNoKey : CallerVerdict::kUncertain,
             nullptr};
   }
   if (limits.known_key && !IsWithin(view_age, *limits.known_key)) {
@@ -24,8 +26,7 @@
   }
   const state::WorkspacePtr workspace = table.FindWorkspace(*key);
   if (workspace != nullptr) return {CallerVerdict::kWorkspace, workspace};
-  return {IsWithin(view_age, limits.unknown_key) ? CallerVerdict::kUnknownKey
-                                                 : CallerVerdict::kUncertain,
+  return {may_refuse ? CallerVerdict::kUnknownKey : CallerVerdict::kUncertain,
           nullptr};
 }
 
--- a/src/coordination/workspace/workspace_guard.cc
+++ b/src/coordination/workspace/workspace_guard.cc
@@ -10,6 +10,8 @@
 /// Retry-after time of a host whose view is too old to decide on a key; another
 /// host may decide at once.
 constexpr state::Duration kUncertainRetryAfter = state::Milliseconds(200);
+/// Credit of a request that reached no server is returned this long.
+constexpr state::Duration kRefundTime = state::Milliseconds(1'000);
 
 // Run numbers of requests that pass unchanged and of guarded ones share one
 // space.
@@ -40,6 +42,7 @@
   state::WorkspacePtr workspace;
   state::RelayRequest request;
   RelayAnswerHandler handler;
+  state::TimePoint admitted_at;
 };
 
 WorkspaceGuard::WorkspaceGuard(const Clock& clock, const RouteDirectory& routes,
@@ -114,14 +117,9 @@
     this->RunAdmitted(order);
     return order->number;
   }
-  state::TimePoint answer_by = state::TimePoint::max();
-  if (order->request.deadline.count() > 0) {
-    answer_by = order->request.received_at + order->request.deadline;
-  }
-  this->quotas.Acquire(workspace, answer_by,
-                       [this, order](const QuotaDecision& decision) {
-                         this->OnQuota(order, decision);
-                       });
+  this->quotas.Acquire(workspace, [this, order](const QuotaDecision& decision) {
+    this->OnQuota(order, decision);
+  });
   return order->number;
 }
 
@@ -139,14 +137,23 @@
     this->quotas.Refund(order->workspace->id);
     return;
   }
+  order->admitted_at = this->clock.Now();
   this->RunAdmitted(order);
 }
 
+// Credit that is returned later would let more run within a window than the
+// quota allows.
+bool WorkspaceGuard::MayRefund(const Order& order,
+                               const RelayAnswer& answer) const {
+  return order.workspace->quota.IsLimited() && HasReachedNoServer(answer) &&
+         this->clock.Now() - order.admitted_at <= kRefundTime;
+}
+
 void WorkspaceGuard::RunAdmitted(const std::shared_ptr<Order>& order) {
   const std::uint64_t inner = this->next.Run(
       std::move(order->request), [this, order](const RelayAnswer& answer) {
         if (!this->guarded.Take(order->number)) return;
-        if (order->workspace->quota.IsLimited() && HasReachedNoServer(answer)) {
+        if (this->MayRefund(*order, answer)) {
           this->quotas.Refund(order->workspace->id);
         }
         order->handler(answer);
--- a/src/protocol/fleet_codec.cc
+++ b/src/protocol/fleet_codec.cc
@@ -282,8 +282,21 @@
   return query;
 }
 
+namespace {
+
+void RemoveDelegationHeader(HttpRequest& request) {
+  for (const char* name : {kVersionHeader, kRoutesHeader, kElapsedHeader,
+                           kOutsideHeader, kWorkspaceHeader, kPriorityHeader}) {
+    RemoveHeader(request.headers, name);
+  }
+}
+
+}  // namespace
+
 void AddDelegationHeader(const DelegationHeader& delegation,
                          HttpRequest& request) {
+  // A caller's own ones must not be taken for this host's.
+  RemoveDelegationHeader(request);
   request.headers.push_back({kVersionHeader, kProtocolVersion});
   request.headers.push_back(
       {kRoutesHeader, std::to_string(delegation.routes_version)});
@@ -319,10 +332,7 @@
   }
   state::WorkspaceId workspace(
       std::string(HeaderValue(request.headers, kWorkspaceHeader)));
-  for (const char* name : {kVersionHeader, kRoutesHeader, kElapsedHeader,
-                           kOutsideHeader, kWorkspaceHeader, kPriorityHeader}) {
-    RemoveHeader(request.headers, name);
-  }
+  RemoveDelegationHeader(request);
   return DelegationHeader{*routes_version, *elapsed, *outside_time,
                           std::move(workspace), priority};
 }
--- a/src/protocol/json_schema_texts.cc
+++ b/src/protocol/json_schema_texts.cc
@@ -62,6 +62,7 @@
     "core_share": {"type": "number", "exclusiveMinimum": 0, "maximum": 1},
     "source_contact_ms": {"type": "integer", "minimum": 100, "maximum": 600000},
     "memory_mb": {"type": "integer", "minimum": 16, "maximum": 1000000},
+    "max_descriptors": {"type": "integer", "minimum": 64, "maximum": 1048576},
     "threads": {"type": "integer", "minimum": 1, "maximum": 256},
     "leave_grace_ms": {"type": "integer", "minimum": 0, "maximum": 600000},
     "stop_bound_ms": {"type": "integer", "minimum": 0, "maximum": 600000},
--- a/src/transport/server_connection.cc
+++ b/src/transport/server_connection.cc
@@ -4,6 +4,7 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <atomic>
 #include <boost/asio/post.hpp>
 #include <string_view>
@@ -23,14 +24,29 @@
 constexpr const char* kMalformedBody =
     R"({"outcome":"invalid","error":"malformed"})";
 
+/// Most of a body that is read at once; what arrives is parsed in place.
+constexpr std::size_t kReadBytes = 4096;
+/// What a connection holds beside its buffers: the parser and its fields.
+constexpr std::size_t kParserBytes = 2u << 10;
+/// A request that runs exists up to this often: as received, as decoded and as
+/// it is being sent.
+constexpr std::size_t kRequestCopies = 3;
+/// A larger read buffer isn't kept between requests.
+constexpr std::size_t kMaxKeptBufferBytes = 8u << 10;
+/// After a refusal for memory.
+constexpr state::Duration kNoRoomRetryAfter = state::Milliseconds(1'000);
+
 }  // namespace
 
 class ServerConnection::Exchange : public HttpExchange {
  public:
   Exchange(std::shared_ptr<ServerConnection> connection,
-           protocol::HttpRequest request, bool keep_alive, bool is_first)
+           protocol::HttpRequest request,
+           std::unique_ptr<coordination::MemoryHold> hold, bool keep_alive,
+           bool is_first)
       : connection(std::move(connection)),
         request(std::move(request)),
+        hold(std::move(hold)),
         keep_alive(keep_alive),
         is_first(is_first) {}
 
@@ -75,6 +91,7 @@
 
   const std::shared_ptr<ServerConnection> connection;
   const protocol::HttpRequest request;
+  const std::unique_ptr<coordination::MemoryHold> hold;  // of the request
   const bool keep_alive;
   const bool is_first;
   std::atomic<bool> is_answered{false};
@@ -95,6 +112,10 @@
 }
 
 void ServerConnection::ReadNext() {
+  if (this->is_displaced) {
+    this->Close();
+    return;
+  }
   this->is_busy = this->buffer.size() > 0;
   if (this->is_busy) {
     this->BeginRequest();
@@ -108,6 +129,7 @@
 void ServerConnection::WaitForRequest() {
   this->stream.expires_never();
   this->idle_since = std::chrono::steady_clock::now();
+  this->SetWaiting(true);
   this->ArmIdleTimer();
   this->ReadSome(&ServerConnection::BeginRequest);
 }
@@ -133,7 +155,11 @@
 }
 
 void ServerConnection::ReadSome(void (ServerConnection::*then)()) {
-  constexpr std::size_t kReadBytes = 4096;
+  if (this->gives_way) {
+    this->RejectForRoom();
+    return;
+  }
+  if (!this->WaitingSince()) this->SetWaiting(true);
   this->stream.async_read_some(
       this->buffer.prepare(kReadBytes),
       [self = this->shared_from_this(), then](const beast::error_code& error,
@@ -143,12 +169,20 @@
           return;
         }
         self->buffer.commit(bytes);
+        if (self->has_read_timed_out) {
+          self->OnRead(asio::error::operation_aborted);
+          return;
+        }
         ((*self).*then)();
       });
 }
 
 void ServerConnection::BeginRequest() {
   this->is_busy = true;
+  this->gives_way = false;
+  // The time counts from the request's first byte, however slowly others come.
+  this->SetWaiting(true);
+  this->OpenHold();
   this->stream.expires_never();
   this->timer.expires_after(this->server->Limits().read_timeout);
   this->timer.async_wait(
@@ -167,7 +201,7 @@
       this->buffer.size());
   switch (ExamineHead(bytes, this->server->Limits().max_header_bytes)) {
     case HeadState::kIncomplete:
-      this->ReadSome(&ServerConnection::ReadHead);
+      if (this->TryHoldRequest()) this->ReadSome(&ServerConnection::ReadHead);
       break;
     case HeadState::kFolded:
       this->timer.cancel();
@@ -185,11 +219,39 @@
   this->parser->body_limit(limits.max_body_bytes);
   this->parser->header_limit(
       static_cast<std::uint32_t>(limits.max_header_bytes));
-  http::async_read(this->stream, this->buffer, *this->parser,
-                   [self = this->shared_from_this()](
-                       const beast::error_code& error, std::size_t /*bytes*/) {
-                     self->OnRead(error);
-                   });
+  this->parser->eager(true);
+  this->ParseMore();
+}
+
+// Parses what has arrived. Only the bytes of one chunk header or trailer stay
+// in the buffer, and these may not be longer than a head.
+void ServerConnection::ParseMore() {
+  beast::error_code error;
+  while (!error && !this->parser->is_done() && this->buffer.size() > 0) {
+    this->buffer.consume(this->parser->put(this->buffer.data(), error));
+  }
+  if (error && error != http::error::need_more) {
+    this->OnRead(error);
+  } else if (this->parser->is_done()) {
+    this->OnRead({});
+  } else if (this->buffer.size() > this->server->Limits().max_header_bytes) {
+    this->OnRead(http::error::header_limit);
+  } else if (this->TryHoldRequest()) {
+    this->ReadSome(&ServerConnection::ParseMore);
+  }
+}
+
+/// Accounts for what the unfinished request holds; refuses it without room.
+bool ServerConnection::TryHoldRequest() {
+  std::size_t bytes = this->buffer.capacity() + kParserBytes;
+  if (this->parser) {
+    const std::string& body = this->parser->get().body();
+    // The capacity is reserved ahead for a body of known length.
+    bytes += std::min(body.capacity(), 2 * body.size());
+  }
+  if (this->hold->TryHold(bytes, true)) return true;
+  this->RejectForRoom();
+  return false;
 }
 
 void ServerConnection::OnRead(const beast::error_code& error) {
@@ -202,6 +264,10 @@
     this->Reject(413, R"({"outcome":"invalid","error":"too_large"})");
     return;
   }
+  if (error && this->gives_way) {
+    this->RejectForRoom();
+    return;
+  }
   if (error && this->has_read_timed_out) {
     this->Reject(408, R"({"outcome":"invalid","error":"timeout"})");
     return;
@@ -225,9 +291,22 @@
   if (!this->stream.socket().is_open()) return;  // aborted in the meantime
   this->has_read_timed_out = false;
   const bool keep_alive = this->parser->keep_alive();
+  const std::size_t body_bytes = this->parser->get().body().size();
+  ++this->hold_number;  // the request runs, and gives way no longer
+  if (!this->hold->TryHold(
+          kRequestCopies * (body_bytes + kParserBytes) + kParserBytes, false)) {
+    this->RejectForRoom();
+    return;
+  }
+  this->SetWaiting(false);
+  protocol::HttpRequest request = FromBeast(this->parser->release());
+  this->parser.reset();
+  if (this->buffer.capacity() > kMaxKeptBufferBytes) {
+    this->buffer.shrink_to_fit();
+  }
   const std::shared_ptr<Exchange> exchange = std::make_shared<Exchange>(
-      this->shared_from_this(), FromBeast(this->parser->release()), keep_alive,
-      std::exchange(this->is_new, false));
+      this->shared_from_this(), std::move(request), std::move(this->hold),
+      keep_alive, std::exchange(this->is_new, false));
   this->WatchForClose(exchange);
   this->server->handler.Handle(exchange);
 }
@@ -256,32 +335,105 @@
       });
 }
 
-void ServerConnection::WriteNow(const protocol::HttpResponse& response,
+void ServerConnection::WriteNow(protocol::HttpResponse answer,
                                 bool keep_alive) {
   beast::error_code ignored;
   this->stream.socket().cancel(ignored);  // ends the wait for a close
-  keep_alive = keep_alive && !response.closes_connection &&
-               !this->server->is_shut_down && this->server->allows_keep_alive;
-  this->response = ToBeast(response, keep_alive);
+  this->SetWaiting(false);
+  this->is_writing = true;
+  this->keeps_alive = keep_alive && !answer.closes_connection &&
+                      !this->server->is_shut_down &&
+                      this->server->allows_keep_alive;
+  this->response = ToBeast(std::move(answer), this->keeps_alive);
+  this->OpenHold();
+  this->hold->Hold(this->response.body().size() + kParserBytes, true);
+  this->serializer.emplace(this->response);
   this->stream.expires_after(this->server->Limits().write_timeout);
-  http::async_write(this->stream, this->response,
-                    [self = this->shared_from_this(), keep_alive](
-                        const beast::error_code& error, std::size_t /*bytes*/) {
-                      if (!error && self->is_rejected) {
-                        self->DiscardUntilClosed();
-                      } else if (error || !keep_alive) {
-                        self->Close();
-                      } else {
-                        self->ReadNext();
-                      }
-                    });
+  this->WriteMore();
+}
+
+void ServerConnection::WriteMore() {
+  http::async_write_some(
+      this->stream, *this->serializer,
+      [self = this->shared_from_this()](const beast::error_code& error,
+                                        std::size_t /*bytes*/) {
+        if (error) {
+          self->Close();
+        } else if (self->serializer->is_done()) {
+          self->OnWritten();
+        } else {
+          // The caller takes its response: progress.
+          self->hold->Hold(self->response.body().size() + kParserBytes, true);
+          self->WriteMore();
+        }
+      });
+}
+
+void ServerConnection::OnWritten() {
+  this->is_writing = false;
+  this->serializer.reset();
+  this->response = {};
+  this->hold.reset();
+  if (this->is_rejected) {
+    this->DiscardUntilClosed();
+  } else if (!this->keeps_alive) {
+    this->Close();
+  } else {
+    this->ReadNext();
+  }
 }
 
 void ServerConnection::Reject(unsigned status, const char* error) {
   this->is_rejected = true;
+  this->ReleaseMemory();
   this->WriteNow({status, error}, false);
 }
 
+/// Refuses an unfinished request, which has not run and never will.
+void ServerConnection::RejectForRoom() {
+  this->timer.cancel();
+  this->is_rejected = true;
+  this->ReleaseMemory();
+  protocol::HttpResponse refusal{
+      503, R"({"outcome":"not_run","error":"no_memory"})"};
+  refusal.retry_after = kNoRoomRetryAfter;
+  this->WriteNow(std::move(refusal), false);
+}
+
+void ServerConnection::ReleaseMemory() {
+  this->parser.reset();
+  this->buffer.consume(this->buffer.size());
+  this->buffer.shrink_to_fit();
+  this->hold.reset();
+}
+
+void ServerConnection::OpenHold() {
+  const std::uint64_t number = ++this->hold_number;
+  this->hold = std::make_unique<coordination::MemoryHold>(
+      this->server->memory, [connection = this->weak_from_this(), number] {
+        const std::shared_ptr<ServerConnection> self = connection.lock();
+        if (self != nullptr) self->GiveWay(number);
+      });
+}
+
+void ServerConnection::GiveWayNow() {
+  if (!this->stream.socket().is_open()) return;
+  const bool is_waiting = this->WaitingSince().has_value();
+  if (this->is_writing || !this->is_busy ||
+      (this->is_displaced && is_waiting)) {
+    this->Close();
+  } else if (is_waiting && !this->is_rejected) {
+    this->gives_way = true;
+    beast::error_code ignored;
+    this->stream.socket().cancel(ignored);  // ends the read
+  }
+}
+
+void ServerConnection::SetWaiting(bool is_waiting) {
+  this->waiting_since =
+      is_waiting ? std::chrono::steady_clock::now() : kNotWaiting;
+}
+
 // Closing with unread input would reset the connection, and the caller might
 // lose the response.
 void ServerConnection::DiscardUntilClosed() {
@@ -292,7 +444,7 @@
 }
 
 void ServerConnection::DiscardNext() {
-  constexpr std::size_t kDiscardBytes = 16u << 10;
+  constexpr std::size_t kDiscardBytes = 2u << 10;
   this->buffer.clear();
   this->stream.async_read_some(
       this->buffer.prepare(kDiscardBytes),
@@ -308,11 +460,14 @@
 
 void ServerConnection::Close() {
   this->timer.cancel();
+  this->SetWaiting(false);
   beast::error_code ignored;
   this->stream.socket().shutdown(tcp::socket::shutdown_both, ignored);
   this->stream.socket().close(ignored);
   const std::lock_guard<std::mutex> lock(this->server->mutex);
-  this->server->connections.erase(this->shared_from_this());
+  const bool was_open =
+      this->server->connections.erase(this->shared_from_this()) > 0;
+  if (was_open && this->is_displaced) --this->server->displacing;
 }
 
 }  // namespace banyanknot::transport::internal
--- a/test/coordination/quota/quota_fleet.h
+++ b/test/coordination/quota/quota_fleet.h
@@ -68,7 +68,6 @@
     ++this->asked;
     this->CountIdeal();
     host.gate.Acquire(this->table->Workspaces().front(),
-                      this->time.Now() + Milliseconds(500),
                       [this, &host](const QuotaDecision& decision) {
                         if (!host.is_alive) return;
                         if (decision.is_admitted) {
--- a/test/coordination/workspace/workspace_guard_test.cc
+++ b/test/coordination/workspace/workspace_guard_test.cc
@@ -45,7 +45,7 @@
 class ScriptedQuotaGate : public QuotaGate {
  public:
   void Acquire(const state::WorkspacePtr& /*workspace*/,
-               state::TimePoint /*answer_by*/, QuotaHandler handler) override {
+               QuotaHandler handler) override {
     if (this->decision) {
       handler(*this->decision);
     } else {
@@ -227,6 +227,14 @@
   CHECK(fixture.answers.size() == 1);
 }
 
+TEST_CASE("Credit that is long gone is not returned") {
+  GuardFixture fixture;
+  fixture.Start("k1");
+  fixture.time.Advance(Milliseconds(1'500));
+  fixture.next.handlers.front()(RelayAnswer());  // not run
+  CHECK(fixture.quotas.refunds["farm"] == 0);
+}
+
 TEST_CASE("A caller that leaves while its quota is decided runs nothing") {
   GuardFixture fixture;
   fixture.quotas.decision.reset();
--- a/test/protocol/fleet_codec_test.cc
+++ b/test/protocol/fleet_codec_test.cc
@@ -101,6 +101,59 @@
   CHECK_FALSE(state::IsOk(TakeDelegationHeader(request)));
 }
 
+TEST_CASE("A caller's own delegation headers don't replace the host's") {
+  HttpRequest request;
+  request.headers = {{"banyanknot-workspace", "forged"},
+                     {"Banyanknot-Priority", "0"},
+                     {"Banyanknot-Elapsed-Us", "0"}};
+  AddDelegationHeader({9, state::Milliseconds(3), {}}, request);
+  const state::Result<DelegationHeader, ProtocolErrorCode> taken =
+      TakeDelegationHeader(request);
+  REQUIRE(state::IsOk(taken));
+  CHECK(state::ValueOf(taken).workspace.IsEmpty());
+  CHECK_FALSE(state::ValueOf(taken).priority);
+  CHECK(state::ValueOf(taken).elapsed == state::Milliseconds(3));
+}
+
+TEST_CASE("A caller can't name the workspace and priority of a delegation") {
+  for (const bool has_workspace : {true, false}) {
+    INFO("has a workspace: " << has_workspace);
+    HttpRequest request;
+    request.headers = {{"banyanknot-workspace", "other"},
+                       {"Banyanknot-Priority", "0"}};
+    DelegationHeader delegation{9, {}, {}, {}, {}};
+    if (has_workspace) {
+      delegation.workspace = state::WorkspaceId("farm");
+      delegation.priority = 3;
+    }
+    AddDelegationHeader(delegation, request);
+    const state::Result<DelegationHeader, ProtocolErrorCode> taken =
+        TakeDelegationHeader(request);
+    REQUIRE(state::IsOk(taken));
+    CHECK(state::ValueOf(taken).workspace.Text() ==
+          delegation.workspace.Text());
+    CHECK(state::ValueOf(taken).priority == delegation.priority);
+  }
+}
+
+TEST_CASE("A caller can't change or break a delegation by its headers") {
+  for (const char* name : {"Banyanknot-Hop", "Banyanknot-Routes-Version",
+                           "Banyanknot-Elapsed-Us", "Banyanknot-Outside-Us"}) {
+    INFO(name);
+    HttpRequest request;
+    request.headers = {{name, "7"}};
+    AddDelegationHeader({9, state::Milliseconds(3), state::Milliseconds(17)},
+                        request);
+    const state::Result<DelegationHeader, ProtocolErrorCode> taken =
+        TakeDelegationHeader(request);
+    CHECK(state::IsOk(taken));
+    if (!state::IsOk(taken)) continue;
+    CHECK(state::ValueOf(taken).routes_version == 9);
+    CHECK(state::ValueOf(taken).elapsed == state::Milliseconds(3));
+    CHECK(state::ValueOf(taken).outside_time == state::Milliseconds(17));
+  }
+}
+
 TEST_CASE("A delegation of another version or with odd numbers is malformed") {
   for (const char* name : {"Banyanknot-Hop", "Banyanknot-Routes-Version",
                            "Banyanknot-Elapsed-Us", "Banyanknot-Outside-Us"}) {
