Choose the server of a request by a policy; add two random choices

Cause: a host's knowledge of a server's load is as old as its last reply from there.

The choice is now a ServerChoice. LeastCostChoice is the rule as it was and the default; TwoRandomChoices draws two servers in proportion to the inverse of their estimated time and takes the better, with reports that count less the older they are. Setting server_choice; counters of choices by failure domain.

Ruled out: taking the better of two by time alone.

--- a/daemons/relay_application.cc
+++ b/daemons/relay_application.cc
@@ -73,6 +73,17 @@
   return limits;
 }
 
+std::unique_ptr<const coordination::ServerChoice> MakeServerChoice(
+    coordination::ServerChoiceKind kind, coordination::RandomSource& random) {
+  switch (kind) {
+    case coordination::ServerChoiceKind::kLeastCost:
+      break;
+    case coordination::ServerChoiceKind::kTwoChoices:
+      return std::make_unique<const coordination::TwoRandomChoices>(random);
+  }
+  return std::make_unique<const coordination::LeastCostChoice>();
+}
+
 state::HostAdvert MakeAdvert(const RelaySettings& settings) {
   state::HostAdvert advert;
   advert.id = settings.id;
@@ -111,7 +122,8 @@
         threads(settings.threads, MakeFailureLogger(log)),
         timers(threads.Context()),
         random(DrawSeed()),
-        servers(clock, settings.domain),
+        server_choice(MakeServerChoice(settings.server_choice, random)),
+        servers(clock, settings.domain, *server_choice),
         receive_budget(std::make_shared<transport::ReceiveBudget>(
             settings.memory_limit_bytes / kReceiveBudgetDivisor)),
         relay_client(threads.Context(), clock, codec, receive_budget, log),
@@ -153,7 +165,7 @@
         front_service(clock, codec, readiness, workspace_guard),
         caller_server(threads.Context(), front_service,
                       MakeHttpServerLimits({})),
-        host_metrics(log, readiness, routes, executor, threads,
+        host_metrics(log, readiness, routes, servers, executor, threads,
                      *receive_budget),
         status_service(codec.ReadyPath(), readiness,
                        {&journal, &dispatcher, &shared_source, &relay_client,
@@ -191,6 +203,7 @@
   transport::AsioTimerService timers;
   coordination::SeededRandomSource random;
   coordination::RouteDirectory routes;
+  const std::unique_ptr<const coordination::ServerChoice> server_choice;
   coordination::ServerDirectory servers;
   const std::shared_ptr<transport::ReceiveBudget> receive_budget;
   transport::RelayHttpClient relay_client;
--- a/daemons/relay_host_metrics.cc
+++ b/daemons/relay_host_metrics.cc
@@ -21,6 +21,17 @@
                      coordination::MetricKind::kGauge,
                      {},
                      static_cast<double>(this->executor.Unanswered())});
+  const coordination::ServerChoiceCounts choices = this->servers.CountChoices();
+  samples.push_back({"banyanknot_relay_own_domain_choices_total",
+                     "Servers of the own failure domain chosen for requests.",
+                     coordination::MetricKind::kCounter,
+                     {},
+                     static_cast<double>(choices.own_domain)});
+  samples.push_back({"banyanknot_relay_other_domain_choices_total",
+                     "Servers of other failure domains chosen for requests.",
+                     coordination::MetricKind::kCounter,
+                     {},
+                     static_cast<double>(choices.other_domain)});
   samples.push_back({"banyanknot_log_records_dropped_total",
                      "Log lines dropped because their queue was full.",
                      coordination::MetricKind::kCounter,
--- a/daemons/relay_host_metrics.h
+++ b/daemons/relay_host_metrics.h
@@ -7,6 +7,7 @@
 #include "banyanknot/coordination/readiness.h"
 #include "banyanknot/coordination/routing/relay_executor.h"
 #include "banyanknot/coordination/routing/route_directory.h"
+#include "banyanknot/coordination/routing/server_directory.h"
 #include "banyanknot/transport/boost_event_log.h"
 #include "banyanknot/transport/io_threads.h"
 #include "banyanknot/transport/receive_budget.h"
@@ -19,12 +20,14 @@
   RelayHostMetrics(const transport::BoostEventLog& log,
                    const coordination::Readiness& readiness,
                    const coordination::RouteDirectory& routes,
+                   const coordination::ServerDirectory& servers,
                    const coordination::RelayExecutor& executor,
                    const transport::IoThreads& threads,
                    const transport::ReceiveBudget& receive_budget)
       : log(log),
         readiness(readiness),
         routes(routes),
+        servers(servers),
         executor(executor),
         threads(threads),
         receive_budget(receive_budget) {}
@@ -36,6 +39,7 @@
   const transport::BoostEventLog& log;
   const coordination::Readiness& readiness;
   const coordination::RouteDirectory& routes;
+  const coordination::ServerDirectory& servers;
   const coordination::RelayExecutor& executor;
   const transport::IoThreads& threads;
   const transport::ReceiveBudget& receive_budget;
--- a/daemons/relay_settings.cc
+++ b/daemons/relay_settings.cc
@@ -104,6 +104,10 @@
       reader.UnsignedOr("memory_mb", kDefaultMemoryMb, kMaxMemoryMb) << 20);
   settings.extra_request_share =
       reader.FractionOr("extra_request_share", settings.extra_request_share);
+  settings.server_choice =
+      state::FindValue(coordination::kServerChoiceKindNames,
+                       reader.StringOr("server_choice", ""))
+          .value_or(settings.server_choice);
   settings.quota_rules = ReadQuotaRules(reader, settings.domain);
   if (reader.BoolOr("strict_revocation", false)) {
     settings.key_lifetime =
--- a/daemons/relay_settings.h
+++ b/daemons/relay_settings.h
@@ -9,6 +9,7 @@
 #include "banyanknot/coordination/entry_decoder.h"
 #include "banyanknot/coordination/log_severity.h"
 #include "banyanknot/coordination/quota/quota_rules.h"
+#include "banyanknot/coordination/routing/server_choice.h"
 #include "banyanknot/state/endpoint.h"
 #include "banyanknot/state/identifier.h"
 #include "banyanknot/state/result.h"
@@ -38,6 +39,9 @@
   /// Memory that the process may use; replies get a share of it.
   std::size_t memory_limit_bytes = std::size_t{256} << 20;
   double extra_request_share = 0.17;
+  /// How the server of a request is chosen.
+  coordination::ServerChoiceKind server_choice =
+      coordination::ServerChoiceKind::kLeastCost;
   /// After this time without news of the source, a host accepts no keys;
   /// nothing if it goes on with those that it knows.
   std::optional<state::Duration> key_lifetime;
--- a/include/banyanknot/coordination/routing/server_directory.h
+++ b/include/banyanknot/coordination/routing/server_directory.h
@@ -1,7 +1,9 @@
 #ifndef BANYANKNOT_COORDINATION_ROUTING_SERVER_DIRECTORY_H_
 #define BANYANKNOT_COORDINATION_ROUTING_SERVER_DIRECTORY_H_
 
+#include <atomic>
 #include <cstddef>
+#include <cstdint>
 #include <memory>
 #include <mutex>
 #include <set>
@@ -10,6 +12,7 @@
 
 #include "banyanknot/coordination/clock.h"
 #include "banyanknot/coordination/routing/departed_servers.h"
+#include "banyanknot/coordination/routing/server_choice.h"
 #include "banyanknot/coordination/routing/server_picker.h"
 #include "banyanknot/state/routing/route_table.h"
 #include "banyanknot/state/sharded_table.h"
@@ -22,12 +25,21 @@
   std::size_t unreachable = 0;  ///< could not be reached
 };
 
+/// \brief Servers chosen for requests since the start.
+struct ServerChoiceCounts {
+  std::uint64_t own_domain = 0;
+  std::uint64_t other_domain = 0;
+};
+
 /// \brief All known servers, by service and by id.
 ///
 /// Thread-safe: the tables are sharded and each server has its own lock.
 class ServerDirectory : public ServerPicker {
  public:
+  /// \brief Chooses servers by least cost.
   ServerDirectory(const Clock& clock, state::FailureDomainId own_domain);
+  ServerDirectory(const Clock& clock, state::FailureDomainId own_domain,
+                  const ServerChoice& choice);
 
   /// \brief Adds a server or applies a newer record of a known one.
   /// \returns the removed server that this one replaces; null if there is none
@@ -66,6 +78,7 @@
   /// servers without recent requests count as neither.
   /// \param since start of the period that counts as recent
   ReachabilityCounts CountReachability(state::TimePoint since) const;
+  ServerChoiceCounts CountChoices() const;
   bool IsEmpty() const { return this->by_id.Size() == 0; }
 
  private:
@@ -79,12 +92,15 @@
 
   const Clock& clock;
   const state::FailureDomainId own_domain;
+  const ServerChoice& choice;
   state::ShardedTable<state::InstanceId, TrackedServerPtr> by_id;
   state::ShardedTable<state::ServiceId, Pool> by_service;
   state::ShardedTable<state::ServiceId, std::size_t> connection_limits;
   DepartedServers departed;
   mutable std::mutex domains_mutex;
   std::set<state::FailureDomainId> domains_out;
+  std::atomic<std::uint64_t> own_domain_choices{0};
+  std::atomic<std::uint64_t> other_domain_choices{0};
 };
 
 }  // namespace banyanknot::coordination
--- a/include/banyanknot/coordination/routing/tracked_server.h
+++ b/include/banyanknot/coordination/routing/tracked_server.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "banyanknot/coordination/routing/relay_client.h"
+#include "banyanknot/coordination/routing/server_observation.h"
 #include "banyanknot/coordination/routing/server_suspicion.h"
 #include "banyanknot/state/routing/registered_server.h"
 
@@ -77,9 +78,9 @@
   /// \brief Returns the moving average of reply times, decayed while idle.
   state::Duration TypicalReplyTime(state::TimePoint now) const;
 
-  /// \brief Estimates the time to reply to one more request.
+  /// \brief Returns what is known of the server for choosing one.
   /// \returns nothing if the server is not usable or has no capacity
-  std::optional<state::Duration> Cost(state::TimePoint now) const;
+  std::optional<ServerObservation> Observe(state::TimePoint now) const;
 
   /// \brief Reserves capacity for one request.
   /// \returns false if the server is not usable or has no capacity
--- a/src/coordination/routing/server_directory.cc
+++ b/src/coordination/routing/server_directory.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "banyanknot/coordination/routing/least_cost_choice.h"
+
 namespace banyanknot::coordination {
 namespace {
 
@@ -19,11 +21,21 @@
   return std::find(ids.begin(), ids.end(), id) != ids.end();
 }
 
+const ServerChoice& DefaultChoice() {
+  static const LeastCostChoice kChoice;
+  return kChoice;
+}
+
 }  // namespace
 
 ServerDirectory::ServerDirectory(const Clock& clock,
                                  state::FailureDomainId own_domain)
-    : clock(clock), own_domain(std::move(own_domain)) {}
+    : ServerDirectory(clock, std::move(own_domain), DefaultChoice()) {}
+
+ServerDirectory::ServerDirectory(const Clock& clock,
+                                 state::FailureDomainId own_domain,
+                                 const ServerChoice& choice)
+    : clock(clock), own_domain(std::move(own_domain)), choice(choice) {}
 
 std::size_t ServerDirectory::ConnectionLimitOf(
     const state::ServiceId& service) const {
@@ -158,20 +170,36 @@
     const state::ServiceId& service,
     const std::vector<state::InstanceId>& tried, state::TimePoint now) {
   const Pool pool = this->PoolOf(service);
-  TrackedServerPtr best;
-  state::Duration best_cost{0};
+  std::vector<const TrackedServerPtr*> candidates;
+  std::vector<ServerObservation> observed;
+  candidates.reserve(pool->size());
+  observed.reserve(pool->size());
   for (const TrackedServerPtr& server : *pool) {
     if (Contains(tried, server->Record().id)) continue;
-    std::optional<state::Duration> cost = server->Cost(now);
-    if (!cost) continue;
-    if (server->Record().domain != this->own_domain) *cost += kCrossDomainCost;
-    if (best == nullptr || *cost < best_cost) {
-      best = server;
-      best_cost = *cost;
+    std::optional<ServerObservation> observation = server->Observe(now);
+    if (!observation) continue;
+    if (server->Record().domain != this->own_domain) {
+      observation->added_time += kCrossDomainCost;
     }
+    candidates.push_back(&server);
+    observed.push_back(*observation);
   }
-  if (best == nullptr || !best->TryReserve(now)) return nullptr;
-  return best;
+  if (candidates.empty()) return nullptr;
+  const TrackedServerPtr& chosen = *candidates[this->choice.Choose(observed)];
+  if (!chosen->TryReserve(now)) return nullptr;
+  std::atomic<std::uint64_t>& count =
+      chosen->Record().domain == this->own_domain ? this->own_domain_choices
+                                                  : this->other_domain_choices;
+  count.fetch_add(1, std::memory_order_relaxed);
+  return chosen;
+}
+
+ServerChoiceCounts ServerDirectory::CountChoices() const {
+  ServerChoiceCounts counts;
+  counts.own_domain = this->own_domain_choices.load(std::memory_order_relaxed);
+  counts.other_domain =
+      this->other_domain_choices.load(std::memory_order_relaxed);
+  return counts;
 }
 
 bool ServerDirectory::HasUsableServer(
@@ -203,7 +231,7 @@
   const Pool pool = this->PoolOf(service);
   return std::any_of(
       pool->begin(), pool->end(), [&](const TrackedServerPtr& server) {
-        return server->Cost(now) && !Contains(tried, server->Record().id);
+        return server->Observe(now) && !Contains(tried, server->Record().id);
       });
 }
 
--- a/src/coordination/routing/tracked_server.cc
+++ b/src/coordination/routing/tracked_server.cc
@@ -22,10 +22,6 @@
 constexpr double kStallFactor = 2.5;
 /// Shorter delays are ordinary variation.
 constexpr state::Duration kMinStall = state::Milliseconds(25);
-/// Older load reports are ignored.
-constexpr state::Duration kLoadReportLifetime = state::Milliseconds(250);
-/// Added cost of a server that fails every request, in reply times.
-constexpr double kFailureFactor = 8;
 /// Servers close idle connections after about ten seconds; after this time
 /// without a reply a new connection is assumed to be needed.
 constexpr state::Duration kConnectionLifetime = state::Milliseconds(8'000);
@@ -203,28 +199,32 @@
   return state::FromFractionalMilliseconds(this->TypicalReplyMsLocked(now));
 }
 
-std::optional<state::Duration> TrackedServer::Cost(state::TimePoint now) const {
+std::optional<ServerObservation> TrackedServer::Observe(
+    state::TimePoint now) const {
   const std::lock_guard<std::mutex> lock(this->mutex);
   if (!this->IsUsableLocked(now) ||
       this->send_times.size() >= this->connection_limit) {
     return std::nullopt;
   }
-  double queued = static_cast<double>(this->send_times.size());
-  if (this->load && now - this->load_at < kLoadReportLifetime) {
+  ServerObservation observed;
+  observed.reply_time =
+      state::FromFractionalMilliseconds(this->TypicalReplyMsLocked(now));
+  const bool is_connected = now - this->replied_at < kConnectionLifetime;
+  observed.added_time =
+      (is_connected ? state::Duration(0) : kNewConnectionCost) +
+      this->StallTimeLocked(now);
+  observed.slots =
+      static_cast<double>(std::max<std::size_t>(1, this->record.slots));
+  observed.own_requests = static_cast<double>(this->send_times.size());
+  if (this->load) {
     const double all =
         static_cast<double>(this->load->running + this->load->waiting);
-    queued +=
-        std::max(0.0, all - static_cast<double>(this->own_requests_at_report));
+    observed.others = ObservedRequests{
+        std::max(0.0, all - static_cast<double>(this->own_requests_at_report)),
+        now - this->load_at};
   }
-  const double slots =
-      static_cast<double>(std::max<std::size_t>(1, this->record.slots));
-  const double busy = queued / slots;
-  const double cost_ms = this->TypicalReplyMsLocked(now) * (1 + busy) *
-                         (1 + kFailureFactor * this->failure_share);
-  const bool is_connected = now - this->replied_at < kConnectionLifetime;
-  return state::FromFractionalMilliseconds(cost_ms) +
-         (is_connected ? state::Duration(0) : kNewConnectionCost) +
-         this->StallTimeLocked(now);
+  observed.failure_share = this->failure_share;
+  return observed;
 }
 
 bool TrackedServer::TryReserve(state::TimePoint now) {
--- a/src/protocol/json_schema_texts.cc
+++ b/src/protocol/json_schema_texts.cc
@@ -67,6 +67,7 @@
     "stop_bound_ms": {"type": "integer", "minimum": 0, "maximum": 600000},
     "stop_grace_s": {"type": "number", "minimum": 1, "maximum": 600},
     "extra_request_share": {"type": "number", "minimum": 0, "maximum": 1},
+    "server_choice": {"enum": ["least_cost", "two_choices"]},
     "strict_revocation": {"type": "boolean"},
     "revocation_ms": {"type": "integer", "minimum": 0, "maximum": 600000},
     "quota_window_s": {"type": "number", "exclusiveMinimum": 0, "maximum": 600},
