Test that the directory leaves the choice among free servers to the policy

Covers what the policy is shown: usable servers with capacity only, the added time of another failure domain, a report's requests of other hosts and its age.

--- a/test/coordination/routing/server_choice_test.cc
+++ b/test/coordination/routing/server_choice_test.cc
@@ -7,6 +7,8 @@
 #include <string>
 #include <vector>
 
+#include "banyanknot/coordination/routing/server_directory.h"
+#include "coordination/fleet/support/virtual_time.h"
 #include "coordination/routing/choice_replay.h"
 
 namespace banyanknot::coordination::routing_testing {
@@ -189,6 +191,64 @@
   return std::to_string(two.overruns / least.overruns).substr(0, 4);
 }
 
+/// Chooses the last candidate and keeps what it saw.
+class LastChoice : public ServerChoice {
+ public:
+  std::size_t Choose(
+      const std::vector<ServerObservation>& candidates) const override {
+    this->seen = candidates;
+    return candidates.size() - 1;
+  }
+  mutable std::vector<ServerObservation> seen;
+};
+
+state::RegisteredServer Registered(const std::string& id,
+                                   const std::string& domain) {
+  state::RegisteredServer record;
+  record.id = state::InstanceId(id);
+  record.service = state::ServiceId("desk");
+  record.domain = state::FailureDomainId(domain);
+  record.slots = 2;
+  return record;
+}
+
+TEST_CASE("The directory leaves the choice among free servers to the policy") {
+  const state::ServiceId desk("desk");
+  const LastChoice choice;
+  fleet_testing::VirtualTime time;
+  ServerDirectory servers(time, state::FailureDomainId("a"), choice);
+  servers.Put(Registered("near", "a"));
+  servers.Put(Registered("far", "b"));
+  servers.Put(Registered("tried", "a"));
+  const std::vector<state::InstanceId> tried = {state::InstanceId("tried")};
+
+  const TrackedServerPtr first = servers.Pick(desk, tried, time.Now());
+  REQUIRE(choice.seen.size() == 2);
+  REQUIRE(first->Record().id == state::InstanceId("far"));
+  REQUIRE(choice.seen[1].added_time ==
+          choice.seen[0].added_time + Milliseconds(2));
+  REQUIRE(choice.seen[1].slots == 2);
+
+  // The connection limit of one is used up at the first server.
+  const TrackedServerPtr second = servers.Pick(desk, tried, time.Now());
+  REQUIRE(choice.seen.size() == 1);
+  REQUIRE(second->Record().id == state::InstanceId("near"));
+  REQUIRE(servers.Pick(desk, tried, time.Now()) == nullptr);
+  REQUIRE(servers.CountChoices().own_domain == 1);
+  REQUIRE(servers.CountChoices().other_domain == 1);
+
+  // A report counts the requests of other hosts, and ages.
+  const state::TimePoint sent_at = time.Now();
+  time.Advance(Milliseconds(10));
+  first->Release(AttemptOutcome::kReplied, sent_at, time.Now(),
+                 ReportedLoad{2, 3, 2});
+  time.Advance(Milliseconds(300));
+  REQUIRE(servers.Pick(desk, tried, time.Now()) == first);
+  REQUIRE(choice.seen.back().others.has_value());
+  REQUIRE(choice.seen.back().others->count == 4);
+  REQUIRE(choice.seen.back().others->age == Milliseconds(300));
+}
+
 // Writes the table of docs/design/even-load.md.
 TEST_CASE("Table of server choices", "[.table]") {
   std::printf(
