--- a/daemons/relay_application.cc
+++ b/daemons/relay_application.cc
@@ -78,6 +78,17 @@
   return limits;
 }
 
+std::unique_ptr<const coordination::ServerChoice> MakeServerChoice(
+    coordination::ServerChoiceKind kind, coordination::RandomSource& random) {
+  switch (kind) {
+    case coordination::ServerChoiceKind::kLeastCost:
+      break;
+    case coordination::ServerChoiceKind::kTwoChoices:
+      return std::make_unique<const coordination::TwoRandomChoices>(random);
+  }
+  return std::make_unique<const coordination::LeastCostChoice>();
+}
+
 state::HostAdvert MakeAdvert(const RelaySettings& settings) {
   state::HostAdvert advert;
   advert.id = settings.id;
@@ -132,7 +143,8 @@
         threads(settings.threads, MakeFailureLogger(log)),
         timers(threads.Context()),
         random(DrawSeed()),
-        servers(clock, settings.domain),
+        server_choice(MakeServerChoice(settings.server_choice, random)),
+        servers(clock, settings.domain, *server_choice),
         descriptors(coordination::ShareDescriptors(MaxDescriptors(settings))),
         caller_memory(std::make_shared<coordination::MemoryAccount>(
             clock, give_way,
@@ -182,8 +194,8 @@
         caller_server(threads.Context(), front_service,
                       MakeHttpServerLimits({}, descriptors.callers),
                       caller_memory),
-        host_metrics(log, readiness, routes, executor, threads, *receive_budget,
-                     *caller_memory, caller_server),
+        host_metrics(log, readiness, routes, servers, executor, threads,
+                     *receive_budget, *caller_memory, caller_server),
         crowd_watch(log, *caller_memory, caller_server),
         status_service(codec.ReadyPath(), readiness,
                        {&journal, &dispatcher, &shared_source, &relay_client,
@@ -224,6 +236,7 @@
   transport::AsioTimerService timers;
   coordination::SeededRandomSource random;
   coordination::RouteDirectory routes;
+  const std::unique_ptr<const coordination::ServerChoice> server_choice;
   coordination::ServerDirectory servers;
   const coordination::DescriptorShares descriptors;
   coordination::StalledFirstPolicy give_way;
--- a/daemons/relay_host_metrics.h
+++ b/daemons/relay_host_metrics.h
@@ -8,6 +8,7 @@
 #include "banyanknot/coordination/readiness.h"
 #include "banyanknot/coordination/routing/relay_executor.h"
 #include "banyanknot/coordination/routing/route_directory.h"
+#include "banyanknot/coordination/routing/server_directory.h"
 #include "banyanknot/transport/boost_event_log.h"
 #include "banyanknot/transport/http_server.h"
 #include "banyanknot/transport/io_threads.h"
@@ -21,6 +22,7 @@
   RelayHostMetrics(const transport::BoostEventLog& log,
                    const coordination::Readiness& readiness,
                    const coordination::RouteDirectory& routes,
+                   const coordination::ServerDirectory& servers,
                    const coordination::RelayExecutor& executor,
                    const transport::IoThreads& threads,
                    const transport::ReceiveBudget& receive_budget,
@@ -29,6 +31,7 @@
       : log(log),
         readiness(readiness),
         routes(routes),
+        servers(servers),
         executor(executor),
         threads(threads),
         receive_budget(receive_budget),
@@ -42,6 +45,7 @@
   const transport::BoostEventLog& log;
   const coordination::Readiness& readiness;
   const coordination::RouteDirectory& routes;
+  const coordination::ServerDirectory& servers;
   const coordination::RelayExecutor& executor;
   const transport::IoThreads& threads;
   const transport::ReceiveBudget& receive_budget;
--- a/daemons/relay_settings.h
+++ b/daemons/relay_settings.h
@@ -9,6 +9,7 @@
 #include "banyanknot/coordination/entry_decoder.h"
 #include "banyanknot/coordination/log_severity.h"
 #include "banyanknot/coordination/quota/quota_rules.h"
+#include "banyanknot/coordination/routing/server_choice.h"
 #include "banyanknot/state/endpoint.h"
 #include "banyanknot/state/identifier.h"
 #include "banyanknot/state/result.h"
@@ -41,6 +42,9 @@
   /// fewer.
   std::size_t max_descriptors = 1u << 20;
   double extra_request_share = 0.17;
+  /// How the server of a request is chosen.
+  coordination::ServerChoiceKind server_choice =
+      coordination::ServerChoiceKind::kLeastCost;
   /// After this time without news of the source, a host accepts no keys;
   /// nothing if it goes on with those that it knows.
   std::optional<state::Duration> key_lifetime;
