Check routes before they are published: banyanknotctl check_routes

Cause: a document of routes could only be judged by sending it. Hosts refuse a bad one as a whole and say no more than the name of a member, and they accept routes that never match, services that aren't there, workspaces without keys and limits that contradict each other.

CheckRoutes, CheckSuccession and CompareRoutes are decisions over route tables, without input or output; the adapter reads the document and turns places into JSON pointers (RoutesReader, RoutesDocument). It is stricter than a host: what a host leaves out is a fault. Keys are shown as counts and the first 8 digits of their digests.

Ruled out: an exit status for differences, since each new version differs; a second parser beside the decoder, which would drift from it. Left: only the first fault of an invalid document is shown; quota rates are judged for a window of 5 s, since the settings aren't read.

The whole coordination, platform and integration tests were not run.

--- a/ctl/command_line.cc
+++ b/ctl/command_line.cc
@@ -2,6 +2,7 @@
 
 #include "audit_command.h"
 #include "check_command.h"
+#include "check_routes_command.h"
 #include "diff_command.h"
 #include "explain_command.h"
 #include "query_command.h"
@@ -12,9 +13,11 @@
 namespace banyanknot::ctl {
 
 CommandLine::CommandLine(const coordination::EntryDecoder& decoder,
+                         const coordination::RoutesReader& routes_reader,
                          HostClient& client, const LogOptions& log_options) {
   this->commands.push_back(std::make_unique<CheckCommand>(decoder));
   this->commands.push_back(std::make_unique<DiffCommand>());
+  this->commands.push_back(std::make_unique<CheckRoutesCommand>(routes_reader));
   this->commands.push_back(std::make_unique<QueryCommand>(client));
   this->commands.push_back(std::make_unique<StatusCommand>(client));
   this->commands.push_back(std::make_unique<AuditCommand>(client));
--- a/ctl/command_line.h
+++ b/ctl/command_line.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "banyanknot/coordination/entry_decoder.h"
+#include "banyanknot/coordination/routing/routes_document.h"
 #include "command.h"
 #include "host_client.h"
 #include "log_files.h"
@@ -16,8 +17,9 @@
 class CommandLine {
  public:
   /// \param log_options for the commands that read logs
-  CommandLine(const coordination::EntryDecoder& decoder, HostClient& client,
-              const LogOptions& log_options);
+  CommandLine(const coordination::EntryDecoder& decoder,
+              const coordination::RoutesReader& routes_reader,
+              HostClient& client, const LogOptions& log_options);
 
   /// \param words the command line without the program's name and flags
   ExitStatus Run(const std::vector<std::string>& words, std::ostream& out,
--- a/test/ctl/command_fixture.h
+++ b/test/ctl/command_fixture.h
@@ -12,6 +12,7 @@
 
 #include "banyanknot/protocol/catalogue_codec.h"
 #include "command_line.h"
+#include "stand_in_routes_reader.h"
 
 namespace banyanknot::ctl {
 
@@ -59,7 +60,8 @@
                           const std::vector<std::string>& words,
                           const LogOptions& log_options = {}) {
   const protocol::CatalogueCodec codec;
-  CommandLine commands(codec, client, log_options);
+  const StandInRoutesReader routes_reader;
+  CommandLine commands(codec, routes_reader, client, log_options);
   std::ostringstream out;
   std::ostringstream err;
   const ExitStatus status = commands.Run(words, out, err);
