--- a/test/crowd/caller_crowd.cc
+++ b/test/crowd/caller_crowd.cc
@@ -74,6 +74,7 @@
 
 CallerCrowd::~CallerCrowd() {
   this->Leave();
+  this->work.reset();
   this->thread.join();
 }
 
--- a/test/crowd/caller_crowd.h
+++ b/test/crowd/caller_crowd.h
@@ -2,6 +2,7 @@
 #define BANYANKNOT_TEST_CROWD_CALLER_CROWD_H_
 
 #include <atomic>
+#include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
 #include <cstddef>
 #include <memory>
@@ -39,6 +40,9 @@
   class Caller;
 
   boost::asio::io_context context;
+  /// Without it, the thread would end before Leave().
+  boost::asio::executor_work_guard<boost::asio::io_context::executor_type> work{
+      context.get_executor()};
   const CrowdBytes bytes;
   std::atomic<std::size_t> settled{0};
   std::vector<std::shared_ptr<Caller>> callers;
