Displace waiting connections only at listeners that ask for it

An existing test says that connections beyond the limit are closed and affect no other; that stays the default. The edge's listeners ask for the other. Failed before: 'Connections beyond the limit are closed and affect no other'.

--- a/daemons/relay_application.cc
+++ b/daemons/relay_application.cc
@@ -57,6 +57,7 @@
   converted.idle_timeout = limits.idle_timeout;
   converted.read_timeout = limits.header_timeout + kBodyReadTimeout;
   converted.max_connections = max_connections;
+  converted.displaces_waiting = true;
   return converted;
 }
 
@@ -102,6 +103,7 @@
     std::size_t max_connections) {
   transport::HttpServerLimits limits;
   limits.max_connections = max_connections;
+  limits.displaces_waiting = true;
   limits.max_body_bytes = kMaxStatusBodyBytes;
   return limits;
 }
@@ -117,6 +119,7 @@
 transport::HttpServerLimits MakePeerServerLimits(std::size_t max_connections) {
   transport::HttpServerLimits limits;
   limits.max_connections = max_connections;
+  limits.displaces_waiting = true;
   limits.max_header_bytes = kMaxPeerHeaderBytes;
   limits.max_body_bytes = kMaxPeerBodyBytes;
   return limits;
--- a/include/banyanknot/transport/http_server.h
+++ b/include/banyanknot/transport/http_server.h
@@ -46,9 +46,11 @@
 struct HttpServerLimits {
   std::size_t max_body_bytes = 1u << 20;
   std::size_t max_header_bytes = 16u << 10;
-  /// Beyond this, the connection that has waited longest for its caller is
-  /// closed for a new one; a new one is closed if there is none.
+  /// Connections beyond this are closed at once.
   std::size_t max_connections = 4096;
+  /// Closes the connection that has waited longest for its caller for a new one
+  /// beyond the limit, if there is such a connection.
+  bool displaces_waiting = false;
   /// Applies between requests.
   state::Duration idle_timeout = state::Milliseconds(300'000);
   /// Applies from the first byte of a request to its last.
--- a/src/transport/http_server.cc
+++ b/src/transport/http_server.cc
@@ -74,8 +74,9 @@
     if (open >= this->limits.max_connections) {
       // Connections that are to close still hold their descriptors.
       constexpr std::size_t kMaxDisplacingDivisor = 8;
-      if (this->displacing <=
-          this->limits.max_connections / kMaxDisplacingDivisor) {
+      if (this->limits.displaces_waiting &&
+          this->displacing <=
+              this->limits.max_connections / kMaxDisplacingDivisor) {
         displaced = this->LongestWaitingLocked();
       }
       if (displaced == nullptr) {
--- a/test/transport/http_server_test.cc
+++ b/test/transport/http_server_test.cc
@@ -291,6 +291,25 @@
   CHECK(FirstLine(first.ReadUntil("\r\n\r\nb")) == "HTTP/1.1 200 OK");
 }
 
+TEST_CASE("A waiting connection is closed for a new one where that is asked") {
+  HttpServerLimits limits;
+  limits.max_connections = 8;
+  limits.displaces_waiting = true;
+  ServerFixture fixture(limits);
+  std::vector<std::unique_ptr<RawHttpClient>> idle;
+  for (int count = 0; count < 8; ++count) {
+    idle.push_back(std::make_unique<RawHttpClient>(fixture.port));
+    idle.back()->Write(Post("/", "a"));
+    CHECK(FirstLine(idle.back()->ReadUntil("\r\n\r\na")) == "HTTP/1.1 200 OK");
+  }
+  RawHttpClient newcomer(fixture.port);
+  newcomer.Write(Post("/", "b"));
+  CHECK(FirstLine(newcomer.ReadUntil("\r\n\r\nb")) == "HTTP/1.1 200 OK");
+  CHECK(idle.front()->ReadAll().empty());
+  CHECK(fixture.server.DisplacedConnections() == 1);
+  CHECK(fixture.server.RefusedConnections() == 0);
+}
+
 TEST_CASE("Shutdown answers a request that has begun to arrive") {
   ServerFixture fixture;
   RawHttpClient caller(fixture.port);
