--- a/src/coordination/quota/fleet_quota_gate.cc
+++ b/src/coordination/quota/fleet_quota_gate.cc
@@ -81,8 +81,7 @@
 
 std::optional<state::HostAdvert> FleetQuotaGate::Accountant(
     state::TimePoint now) {
-  const std::optional<state::HostAdvert> target =
-      this->directory.OwnAccountant(now);
+  std::optional<state::HostAdvert> target = this->directory.OwnAccountant(now);
   const state::HostId id = target ? target->id : this->own;
   {
     const std::lock_guard<std::mutex> lock(this->accountant_mutex);
