--- a/src/coordination/quota/quota_accountant.cc
+++ b/src/coordination/quota/quota_accountant.cc
@@ -164,8 +164,9 @@
   unsigned wanted = 0;
   this->accounts.ReadIfPresent(loan->request.workspace,
                                [&wanted](const Account& account) {
-                                 for (const Waiter& waiter : account.waiters)
+                                 for (const Waiter& waiter : account.waiters) {
                                    wanted += waiter.missing;
+                                 }
                                });
   loan->request.count = wanted + 1;  // one ahead of the next request
   const state::HostAdvert& lender = loan->lenders[loan->next_lender++];
