Search again for callers that can give way once another holder grows

A search that left out its own, only holder stopped the next one for 5 ms. Failed before: 'What exists already is held even beyond the limit'.

--- a/src/coordination/memory/memory_account.cc
+++ b/src/coordination/memory/memory_account.cc
@@ -85,15 +85,20 @@
   const state::TimePoint now = this->clock.Now();
   if (now < this->next_search_at.load()) return;
   std::vector<MemoryHolder> holders;
-  this->entries.ForEach(
-      [&holders, but](MemoryHolderId /*id*/, const Entry& entry) {
-        if (!entry.is_asked && entry.holder.id != but) {
-          holders.push_back(entry.holder);
-        }
-      });
+  bool may_ask_later = false;  // the holder that is left out now
+  this->entries.ForEach([&](MemoryHolderId /*id*/, const Entry& entry) {
+    if (entry.is_asked) return;
+    if (entry.holder.id == but) {
+      may_ask_later = entry.holder.can_give_way;
+    } else {
+      holders.push_back(entry.holder);
+    }
+  });
   const std::vector<MemoryHolderId> chosen =
       this->policy.Choose(std::move(holders), staying - goal, now);
-  if (chosen.empty()) this->next_search_at = now + kSearchPause;
+  if (chosen.empty() && !may_ask_later) {
+    this->next_search_at = now + kSearchPause;
+  }
   for (const MemoryHolderId id : chosen) {
     GiveWayHandler give_way;
     this->entries.UpdateIfPresent(id, [&](Entry& entry) {
