--- a/daemons/relay_host_metrics.cc
+++ b/daemons/relay_host_metrics.cc
@@ -53,7 +53,7 @@
                      {},
                      static_cast<double>(this->receive_budget.Refusals())});
   samples.push_back({"banyanknot_caller_memory_bytes",
-                     "Bytes that callers and other hosts make this host hold.",
+                     "Bytes that callers make this host hold.",
                      coordination::MetricKind::kGauge,
                      {},
                      static_cast<double>(this->caller_memory.HeldBytes())});
