Log the position in the source's history

A host that served an older version left no trace of why: the record of the incident can't tell a version that was skipped from one that was late or refused. routes_in_force now says at which revision and era of the source, and from whom, a version came; refusals name the version that decided them; an answer that is too large is no longer logged as a source out of reach; a change of the source's era (the store's Store-Era) is an event and a counter, and the position a gauge. Nothing is decided by it yet.

--- a/include/banyanknot/coordination/event_code.h
+++ b/include/banyanknot/coordination/event_code.h
@@ -47,6 +47,7 @@
   kWatcherLeftOut = 5013,
   kQuotaAccountantChanged = 5014,
   kCallersGaveWay = 5015,
+  kSourceEraChanged = 5016,
   kSettingsReloaded = 5009,
   kSettingsRefused = 5010,
 };
@@ -60,7 +61,7 @@
 };
 
 /// \brief Every event, ordered by number.
-inline constexpr std::array<EventDescription, 36> kEventDescriptions{{
+inline constexpr std::array<EventDescription, 37> kEventDescriptions{{
     {EventCode::kHostStarting, "host_starting", LogSeverity::kInfo,
      "The process has read its settings and is starting."},
     {EventCode::kHostListening, "host_listening", LogSeverity::kInfo,
@@ -130,6 +131,8 @@
      "Another host keeps the accounts of this failure domain."},
     {EventCode::kCallersGaveWay, "callers_gave_way", LogSeverity::kWarning,
      "Callers were refused or cut off because all together held too much."},
+    {EventCode::kSourceEraChanged, "source_era_changed", LogSeverity::kWarning,
+     "The source returned from a copy and may have lost its last changes."},
     {EventCode::kSettingsReloaded, "settings_reloaded", LogSeverity::kInfo,
      "The settings file was reloaded."},
     {EventCode::kSettingsRefused, "settings_refused", LogSeverity::kError,
--- a/include/banyanknot/coordination/routing/relay_executor.h
+++ b/include/banyanknot/coordination/routing/relay_executor.h
@@ -56,6 +56,7 @@
 
   std::uint64_t Refuse(const state::RelayRequest& request,
                        state::RelayOutcome outcome, state::Duration retry_after,
+                       const state::RouteTablePtr& table,
                        const RelayAnswerHandler& handler);
   bool IsAdmittedWhileStopping(const state::RelayRequest& request,
                                const state::Route& route,
--- a/include/banyanknot/coordination/routing/relay_journal.h
+++ b/include/banyanknot/coordination/routing/relay_journal.h
@@ -27,8 +27,10 @@
   void RecordAnswer(const RelayRun& run, const RelayAnswer& answer,
                     state::TimePoint now);
   /// \brief Records a request that was rejected without a run.
+  /// \param table the routes that decided it; may be null
   void RecordRefusal(const state::RelayRequest& request,
-                     state::RelayOutcome outcome, state::TimePoint now);
+                     state::RelayOutcome outcome,
+                     const state::RouteTablePtr& table, state::TimePoint now);
 
   void CollectMetrics(std::vector<MetricSample>& samples) const override;
 
--- a/include/banyanknot/coordination/routing/routing_intake.h
+++ b/include/banyanknot/coordination/routing/routing_intake.h
@@ -41,8 +41,10 @@
   void ApplyAll(const RoutingBatch& batch, RemovalMode mode);
 
  private:
-  void ApplyOne(const RoutingChange& change, RemovalMode mode);
-  void ApplyRoutes(const state::RouteTablePtr& table);
+  void ApplyOne(const RoutingChange& change, const RoutingBatch& batch,
+                RemovalMode mode);
+  void ApplyRoutes(const state::RouteTablePtr& table,
+                   const RoutingBatch& batch);
   void ApplyDomain(const DomainStateChange& domain_change);
   void ApplyServer(const state::RegisteredServer& server);
   /// \brief Starts the health checks that a change has made possible.
--- a/include/banyanknot/coordination/routing/routing_source.h
+++ b/include/banyanknot/coordination/routing/routing_source.h
@@ -12,6 +12,7 @@
 #include "banyanknot/state/result.h"
 #include "banyanknot/state/routing/registered_server.h"
 #include "banyanknot/state/routing/route_table.h"
+#include "banyanknot/state/routing/source_position.h"
 
 namespace banyanknot::coordination {
 
@@ -47,10 +48,10 @@
   std::uint64_t revision = 0;
 };
 
-/// \brief The changes up to a revision, or a snapshot at it.
+/// \brief The changes up to a position, or a snapshot at it.
 struct RoutingBatch {
   std::vector<RoutingChange> changes;
-  std::uint64_t revision = 0;
+  state::SourcePosition position;
   std::vector<EncodedChange> encoded;  ///< the same, for other hosts
   bool is_passed_on = false;           ///< by another host, not the source
   bool is_stale = false;  ///< passed on by a host that has lost the source too
--- a/include/banyanknot/coordination/routing/source_failure.h
+++ b/include/banyanknot/coordination/routing/source_failure.h
@@ -14,16 +14,18 @@
   kSilent,       ///< no response in time
   kRefused,      ///< the call was rejected
   kMalformed,    ///< the response could not be decoded
+  kTooLarge,     ///< the response exceeds its size limit
   kHistoryGone,  ///< the revision has been compacted
 };
 
 /// \brief Names of SourceFailure in messages and logs.
-inline constexpr std::array<state::EnumName<SourceFailure>, 5>
+inline constexpr std::array<state::EnumName<SourceFailure>, 6>
     kSourceFailureNames{{
         {SourceFailure::kUnreachable, "unreachable"},
         {SourceFailure::kSilent, "silent"},
         {SourceFailure::kRefused, "refused"},
         {SourceFailure::kMalformed, "malformed"},
+        {SourceFailure::kTooLarge, "too_large"},
         {SourceFailure::kHistoryGone, "history_gone"},
     }};
 
--- a/include/banyanknot/coordination/routing/source_follower.h
+++ b/include/banyanknot/coordination/routing/source_follower.h
@@ -4,14 +4,17 @@
 #include <atomic>
 #include <cstdint>
 #include <optional>
+#include <vector>
 
 #include "banyanknot/coordination/clock.h"
 #include "banyanknot/coordination/event_log.h"
+#include "banyanknot/coordination/metric_source.h"
 #include "banyanknot/coordination/random_source.h"
 #include "banyanknot/coordination/routing/routing_intake.h"
 #include "banyanknot/coordination/routing/routing_source.h"
 #include "banyanknot/coordination/timer_service.h"
 #include "banyanknot/coordination/workspace/configuration_age.h"
+#include "banyanknot/state/routing/source_position.h"
 
 namespace banyanknot::coordination {
 
@@ -21,7 +24,7 @@
 /// Retries use backoff with jitter, so that hosts which lost the source
 /// together don't return in step. After Start(), callbacks run one after the
 /// other, so the intake gets one batch at a time.
-class SourceFollower : public ConfigurationAge {
+class SourceFollower : public ConfigurationAge, public MetricSource {
  public:
   /// \param contact_timeout maximum time to detect a source that stops
   ///     responding
@@ -35,6 +38,7 @@
   bool HasRead() const { return this->has_read; }
 
   std::optional<state::Duration> Age(state::TimePoint now) const override;
+  void CollectMetrics(std::vector<MetricSample>& samples) const override;
 
  private:
   void ReadAll();
@@ -44,6 +48,9 @@
   void OnFailure(SourceFailure failure);
   void OnSuccess(const RoutingBatch& batch);
   RemovalMode RemovalModeOf(const RoutingBatch& batch) const;
+  /// \brief Logs and counts a change of the source's era.
+  void RecordEra(const state::SourcePosition& next);
+  void SetPosition(const state::SourcePosition& next);
 
   const Clock& clock;
   TimerService& timers;
@@ -52,7 +59,11 @@
   RoutingIntake& intake;
   EventLog& log;
   const state::Duration watch_wait;
-  std::uint64_t revision = 0;
+  bool has_position = false;
+  state::SourcePosition position;
+  std::atomic<std::uint64_t> known_revision{0};  // of `position`, for metrics
+  std::atomic<std::uint64_t> known_era{0};
+  std::atomic<std::uint64_t> era_changes{0};
   std::atomic<bool> has_read{false};
   bool is_lost = false;  // the last call failed
   unsigned failures = 0;
--- a/src/coordination/delegation/change_history.cc
+++ b/src/coordination/delegation/change_history.cc
@@ -19,8 +19,8 @@
     const std::lock_guard<std::mutex> lock(this->mutex);
     this->has_snapshot = true;
     this->confirmed_at = now;
-    this->revision = snapshot.revision;
-    this->oldest_revision = snapshot.revision;
+    this->revision = snapshot.position.revision;
+    this->oldest_revision = snapshot.position.revision;
     this->batches.clear();
     this->batch_bytes = 0;
     this->present.clear();
@@ -47,7 +47,7 @@
       return;
     }
     Batch added;
-    added.revision = std::max(batch.revision, this->revision);
+    added.revision = std::max(batch.position.revision, this->revision);
     added.changes = batch.encoded;
     for (const EncodedChange& change : batch.encoded) {
       added.bytes += change.key.size() + change.text.size();
--- a/src/coordination/delegation/shared_source.cc
+++ b/src/coordination/delegation/shared_source.cc
@@ -97,7 +97,7 @@
 
 RoutingBatch SharedSource::ToBatch(const PassedChanges& passed) {
   RoutingBatch batch;
-  batch.revision = passed.revision;
+  batch.position.revision = passed.revision;
   batch.is_passed_on = true;
   batch.is_stale = passed.age > kMaxAge;
   batch.defers_removals = passed.defers_removals;
@@ -105,7 +105,7 @@
     std::optional<RoutingChange> change = this->decoder.Decode(encoded);
     if (change) batch.changes.push_back(std::move(*change));
   }
-  this->RecordRevision(batch.revision);
+  this->RecordRevision(batch.position.revision);
   return batch;
 }
 
@@ -130,7 +130,7 @@
     const state::TimePoint now = this->clock.Now();
     this->OnSourceResult(result, now);
     if (state::IsOk(result)) {
-      this->RecordRevision(state::ValueOf(result).revision);
+      this->RecordRevision(state::ValueOf(result).position.revision);
       this->history.RecordSnapshot(state::ValueOf(result), now);
     }
     handler(std::move(result));
@@ -168,18 +168,18 @@
       this->roster.MayHaveFollowers(this->clock.Now())
           ? std::min(wait, kWatcherWait)
           : wait;
-  this->source.Watch(after, own_wait,
-                     [this, handler = std::move(handler)](
-                         state::Result<RoutingBatch, SourceFailure> result) {
-                       const state::TimePoint now = this->clock.Now();
-                       this->OnSourceResult(result, now);
-                       if (state::IsOk(result)) {
-                         this->RecordRevision(state::ValueOf(result).revision);
-                         this->history.RecordChanges(state::ValueOf(result),
-                                                     now);
-                       }
-                       handler(std::move(result));
-                     });
+  this->source.Watch(
+      after, own_wait,
+      [this, handler = std::move(handler)](
+          state::Result<RoutingBatch, SourceFailure> result) {
+        const state::TimePoint now = this->clock.Now();
+        this->OnSourceResult(result, now);
+        if (state::IsOk(result)) {
+          this->RecordRevision(state::ValueOf(result).position.revision);
+          this->history.RecordChanges(state::ValueOf(result), now);
+        }
+        handler(std::move(result));
+      });
 }
 
 void SharedSource::Watch(std::uint64_t after, state::Duration wait,
--- a/src/coordination/routing/relay_executor.cc
+++ b/src/coordination/routing/relay_executor.cc
@@ -31,11 +31,12 @@
 std::uint64_t RelayExecutor::Refuse(const state::RelayRequest& request,
                                     state::RelayOutcome outcome,
                                     state::Duration retry_after,
+                                    const state::RouteTablePtr& table,
                                     const RelayAnswerHandler& handler) {
   RelayAnswer answer;
   answer.outcome = outcome;
   answer.retry_after = retry_after;
-  this->journal.RecordRefusal(request, outcome, this->clock.Now());
+  this->journal.RecordRefusal(request, outcome, table, this->clock.Now());
   handler(answer);
   return kNoRun;
 }
@@ -45,17 +46,17 @@
   const state::RouteTablePtr table = this->routes.Current();
   if (table == nullptr) {
     return this->Refuse(request, state::RelayOutcome::kNotConfigured,
-                        kNotConfiguredRetryAfter, handler);
+                        kNotConfiguredRetryAfter, table, handler);
   }
   if (request.id.empty()) {
     return this->Refuse(request, state::RelayOutcome::kInvalid,
-                        state::Duration(0), handler);
+                        state::Duration(0), table, handler);
   }
   const std::string path = request.target.substr(0, request.target.find('?'));
   const state::Route* route = table->Match(request.host, path);
   if (route == nullptr) {
     return this->Refuse(request, state::RelayOutcome::kNoRoute,
-                        state::Duration(0), handler);
+                        state::Duration(0), table, handler);
   }
   if (request.deadline.count() <= 0) request.deadline = route->timeout;
   std::vector<state::ServiceId> services = route->shards;
@@ -64,7 +65,7 @@
     if (!this->IsAdmittedWhileStopping(request, *route, services)) {
       return this->Refuse(request, state::RelayOutcome::kNotRun,
                           this->stop_admission.RetryAfter(this->clock.Now()),
-                          handler);
+                          table, handler);
     }
     this->stop_admission.LimitDeadline(request);
   }
--- a/src/coordination/routing/relay_journal.cc
+++ b/src/coordination/routing/relay_journal.cc
@@ -99,14 +99,17 @@
 
 void RelayJournal::RecordRefusal(const state::RelayRequest& request,
                                  state::RelayOutcome outcome,
+                                 const state::RouteTablePtr& table,
                                  state::TimePoint now) {
   this->Count(outcome, now - request.received_at);
   if (!this->MayLog(outcome, now)) return;
-  this->log.Write(EventCode::kRequestNotWhole,
-                  {{"request", request.id},
-                   {"outcome", std::string(NameOf(outcome))},
-                   {"host", request.host},
-                   {"target", request.target}});
+  this->log.Write(
+      EventCode::kRequestNotWhole,
+      {{"request", request.id},
+       {"version", std::to_string(table == nullptr ? 0 : table->Version())},
+       {"outcome", std::string(NameOf(outcome))},
+       {"host", request.host},
+       {"target", request.target}});
 }
 
 void RelayJournal::CollectMetrics(std::vector<MetricSample>& samples) const {
--- a/src/coordination/routing/routing_intake.cc
+++ b/src/coordination/routing/routing_intake.cc
@@ -31,7 +31,7 @@
 
 void RoutingIntake::Apply(const RoutingBatch& batch, RemovalMode mode) {
   for (const RoutingChange& change : batch.changes) {
-    this->ApplyOne(change, mode);
+    this->ApplyOne(change, batch, mode);
   }
 }
 
@@ -59,10 +59,11 @@
   }
 }
 
-void RoutingIntake::ApplyOne(const RoutingChange& change, RemovalMode mode) {
+void RoutingIntake::ApplyOne(const RoutingChange& change,
+                             const RoutingBatch& batch, RemovalMode mode) {
   if (const state::RouteTablePtr* table =
           std::get_if<state::RouteTablePtr>(&change)) {
-    this->ApplyRoutes(*table);
+    this->ApplyRoutes(*table, batch);
   } else if (const DomainStateChange* domain_change =
                  std::get_if<DomainStateChange>(&change)) {
     this->ApplyDomain(*domain_change);
@@ -80,7 +81,8 @@
   }
 }
 
-void RoutingIntake::ApplyRoutes(const state::RouteTablePtr& table) {
+void RoutingIntake::ApplyRoutes(const state::RouteTablePtr& table,
+                                const RoutingBatch& batch) {
   if (!this->routes.InstallIfNewer(table)) return;
   this->servers.ApplyServices(*table);
   this->CheckSuspects();
@@ -88,7 +90,10 @@
   this->log.Write(EventCode::kRoutesInForce,
                   {{"version", std::to_string(table->Version())},
                    {"routes", std::to_string(table->Routes().size())},
-                   {"services", std::to_string(table->Services().size())}});
+                   {"services", std::to_string(table->Services().size())},
+                   {"revision", std::to_string(batch.position.revision)},
+                   {"era", std::to_string(batch.position.era)},
+                   {"from", batch.is_passed_on ? "host" : "source"}});
 }
 
 void RoutingIntake::ApplyDomain(const DomainStateChange& domain_change) {
--- a/src/coordination/routing/source_follower.cc
+++ b/src/coordination/routing/source_follower.cc
@@ -52,15 +52,16 @@
   }
   const RoutingBatch& batch = state::ValueOf(result);
   if (!batch.is_stale) this->OnSuccess(batch);
+  this->RecordEra(batch.position);
   this->intake.ApplyAll(batch, this->RemovalModeOf(batch));
-  this->revision = batch.revision;
+  this->SetPosition(batch.position);
   this->has_read = true;
   this->Watch();
 }
 
 void SourceFollower::Watch() {
   this->source.Watch(
-      this->revision, this->watch_wait,
+      this->position.revision, this->watch_wait,
       [this](const state::Result<RoutingBatch, SourceFailure>& result) {
         this->OnWatched(result);
       });
@@ -77,8 +78,10 @@
   }
   const RoutingBatch& batch = state::ValueOf(result);
   if (!batch.is_stale) this->OnSuccess(batch);
+  this->RecordEra(batch.position);
   this->intake.Apply(batch, this->RemovalModeOf(batch));
-  this->revision = std::max(this->revision, batch.revision);
+  this->SetPosition({std::max(this->position.revision, batch.position.revision),
+                     batch.position.era});
   // Another host has batched the changes that it passes on.
   if (batch.changes.empty() || batch.is_passed_on) {
     this->Watch();
@@ -95,7 +98,8 @@
     this->lost_at = now;
     this->log.Write(EventCode::kSourceLost,
                     {{"failure", std::string(NameOf(failure))},
-                     {"revision", std::to_string(this->revision)}});
+                     {"revision", std::to_string(this->position.revision)},
+                     {"era", std::to_string(this->position.era)}});
   }
   const unsigned doublings = std::min(this->failures++, kMaxDoublings);
   const std::int64_t max_delay =
@@ -122,7 +126,44 @@
   this->regained_at = this->clock.Now();
   this->log.Write(EventCode::kSourceRegained,
                   {{"after_ms", std::to_string(state::ToMilliseconds(
-                                    this->regained_at - this->lost_at))}});
+                                    this->regained_at - this->lost_at))},
+                   {"revision", std::to_string(batch.position.revision)},
+                   {"era", std::to_string(batch.position.era)}});
+}
+
+void SourceFollower::RecordEra(const state::SourcePosition& next) {
+  if (!this->has_position || next.era == this->position.era) return;
+  ++this->era_changes;
+  this->log.Write(EventCode::kSourceEraChanged,
+                  {{"from_era", std::to_string(this->position.era)},
+                   {"from_revision", std::to_string(this->position.revision)},
+                   {"to_era", std::to_string(next.era)},
+                   {"to_revision", std::to_string(next.revision)}});
+}
+
+void SourceFollower::SetPosition(const state::SourcePosition& next) {
+  this->has_position = true;
+  this->position = next;
+  this->known_revision = next.revision;
+  this->known_era = next.era;
+}
+
+void SourceFollower::CollectMetrics(std::vector<MetricSample>& samples) const {
+  samples.push_back({"banyanknot_relay_source_era",
+                     "Era of the source that this host follows.",
+                     MetricKind::kGauge,
+                     {},
+                     static_cast<double>(this->known_era)});
+  samples.push_back({"banyanknot_relay_source_revision",
+                     "Revision up to which this host knows what is published.",
+                     MetricKind::kGauge,
+                     {},
+                     static_cast<double>(this->known_revision)});
+  samples.push_back({"banyanknot_relay_source_era_changes_total",
+                     "Times that the source returned from a copy of its data.",
+                     MetricKind::kCounter,
+                     {},
+                     static_cast<double>(this->era_changes)});
 }
 
 std::optional<state::Duration> SourceFollower::Age(state::TimePoint now) const {
--- a/src/coordination/workspace/workspace_guard.cc
+++ b/src/coordination/workspace/workspace_guard.cc
@@ -64,7 +64,8 @@
   RelayAnswer answer;
   answer.outcome = outcome;
   answer.retry_after = retry_after;
-  this->journal.RecordRefusal(request, outcome, this->clock.Now());
+  this->journal.RecordRefusal(request, outcome, this->routes.Current(),
+                              this->clock.Now());
   handler(answer);
   return kNoRun;
 }
--- a/test/coordination/delegation/change_history_test.cc
+++ b/test/coordination/delegation/change_history_test.cc
@@ -15,7 +15,7 @@
 
 RoutingBatch Batch(std::uint64_t revision, std::vector<EncodedChange> encoded) {
   RoutingBatch batch;
-  batch.revision = revision;
+  batch.position.revision = revision;
   batch.encoded = std::move(encoded);
   return batch;
 }
--- a/test/coordination/delegation/shared_source_test.cc
+++ b/test/coordination/delegation/shared_source_test.cc
@@ -77,7 +77,7 @@
   }
   RoutingBatch BatchAfter(std::uint64_t after) const {
     RoutingBatch batch;
-    batch.revision = this->revision;
+    batch.position.revision = this->revision;
     for (std::uint64_t number = after + 1; number <= this->revision; ++number) {
       const std::string name = "domain" + std::to_string(number);
       batch.changes.push_back(
@@ -386,7 +386,7 @@
   // Watchers that went back, as nothing here should.
   for (const char* id : {"h0", "h1"}) {
     RoutingBatch old;
-    old.revision = 1;
+    old.position.revision = 1;
     fleet.At(id).history.RecordSnapshot(old, fleet.time.Now());
   }
   bool is_answered = false;
@@ -394,7 +394,7 @@
       [&](const state::Result<RoutingBatch, SourceFailure>& result) {
         is_answered = true;
         REQUIRE(state::IsOk(result));
-        CHECK(state::ValueOf(result).revision >= newest);
+        CHECK(state::ValueOf(result).position.revision >= newest);
       });
   fleet.time.Advance(Milliseconds(100));
   CHECK(is_answered);
--- a/test/coordination/routing/source_follower_test.cc
+++ b/test/coordination/routing/source_follower_test.cc
@@ -1,5 +1,6 @@
 #include <catch2/catch.hpp>
 #include <deque>
+#include <map>
 #include <string>
 #include <vector>
 
@@ -81,6 +82,24 @@
   CHECK(host.source.watched_after[1] == 20);
 }
 
+TEST_CASE("A change of the source's era is logged and counted") {
+  FollowerFixture host;
+  host.source.read_answers = {RoutingBatch{{}, {10, 1}}};
+  host.source.watch_answers = {RoutingBatch{{}, {12, 1}},
+                               SourceFailure::kHistoryGone};
+  host.source.read_answers.emplace_back(RoutingBatch{{}, {7, 2}});
+  host.follower.Start();
+  host.fixture.time.Advance(Milliseconds(1'000));
+  CHECK(host.fixture.log.Count(EventCode::kSourceEraChanged) == 1);
+  std::vector<MetricSample> samples;
+  host.follower.CollectMetrics(samples);
+  std::map<std::string, double> values;
+  for (const MetricSample& sample : samples) values[sample.name] = sample.value;
+  CHECK(values["banyanknot_relay_source_era"] == 2);
+  CHECK(values["banyanknot_relay_source_revision"] == 7);
+  CHECK(values["banyanknot_relay_source_era_changes_total"] == 1);
+}
+
 TEST_CASE("An unresponsive source is detected within the contact timeout") {
   FollowerFixture host;
   host.source.read_answers = {RoutingBatch{{}, 10}};
--- a/test/platform/store_source_test.cc
+++ b/test/platform/store_source_test.cc
@@ -5,13 +5,16 @@
 #include <future>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <string>
+#include <utility>
 #include <variant>
 #include <vector>
 
 #include "banyanknot/transport/http_server.h"
 #include "banyanknot/transport/io_threads.h"
 #include "banyanknot/transport/steady_clock.h"
+#include "platform/wire_names.h"
 #include "support/broken_heads.h"
 #include "transport/raw_byte_server.h"
 
@@ -101,7 +104,7 @@
   });
   const SourceResult result = store.ReadAll();
   REQUIRE(state::IsOk(result));
-  CHECK(state::ValueOf(result).revision == 7);
+  CHECK(state::ValueOf(result).position.revision == 7);
   CHECK(state::ValueOf(result).changes.size() == 2);
   CHECK(store.Targets().size() == 2);
 }
@@ -163,12 +166,32 @@
   });
   const SourceResult result = store.Watch(7);
   REQUIRE(state::IsOk(result));
-  CHECK(state::ValueOf(result).revision == 8);
+  CHECK(state::ValueOf(result).position.revision == 8);
   REQUIRE(state::ValueOf(result).changes.size() == 1);
   CHECK(store.Targets().front().find("after=7&WaitMs=1000") !=
         std::string::npos);
 }
 
+TEST_CASE("Positions name the era of the store, 0 for one that can't be read") {
+  const std::vector<std::pair<std::optional<std::string>, std::uint64_t>> rows =
+      {{std::nullopt, 0}, {"3", 3},   {"0", 0},
+       {"", 0},           {"x", 0},   {"3x", 0},
+       {"-1", 0},         {"1.5", 0}, {"99999999999999999999", 0}};
+  for (const auto& [text, era] : rows) {
+    INFO(text.value_or("none"));
+    ScriptedStore store([text = text](const std::string& /*target*/) {
+      protocol::HttpResponse response =
+          Respond(200, R"({"items":[],"events":[],"AsOf":8})");
+      if (text) response.headers.push_back({wire::kStoreEra, *text});
+      return response;
+    });
+    for (const SourceResult& result : {store.ReadAll(), store.Watch(7)}) {
+      REQUIRE(state::IsOk(result));
+      CHECK(state::ValueOf(result).position == state::SourcePosition{8, era});
+    }
+  }
+}
+
 TEST_CASE("Failures of the store are classified") {
   struct Row {
     unsigned status;
