Tests: a store that returns from an older copy

Drills play a store that comes back without what was written since a copy, in a new era; the stand-in had no such return and never ended a wait by itself, which a host took for a silent store after 3.5 s.

--- a/test/platform/edge/store_stand_in.cc
+++ b/test/platform/edge/store_stand_in.cc
@@ -1,5 +1,6 @@
 #include "platform/edge/store_stand_in.h"
 
+#include <algorithm>
 #include <boost/beast/core/detail/base64.hpp>
 #include <utility>
 
@@ -10,6 +11,7 @@
 
 using nlohmann::json;
 
+constexpr unsigned kHttpOk = 200;
 constexpr unsigned kHttpUnavailable = 503;
 constexpr unsigned kHttpGone = 410;
 
@@ -20,13 +22,6 @@
   return text;
 }
 
-protocol::HttpResponse Respond(unsigned status, const json& body) {
-  protocol::HttpResponse response;
-  response.status = status;
-  response.body = body.dump();
-  return response;
-}
-
 std::uint64_t ParseNumberAfter(const std::string& target,
                                const std::string& name) {
   const std::size_t found = target.find(name);
@@ -36,7 +31,9 @@
 
 }  // namespace
 
-StoreStandIn::StoreStandIn() : server(threads.Context(), *this, {}) {
+StoreStandIn::StoreStandIn()
+    : timers(threads.Context()), server(threads.Context(), *this, {}) {
+  this->contents.revision = 1;
   this->port = state::ValueOf(this->server.Listen({"127.0.0.1", 0}));
 }
 
@@ -78,28 +75,63 @@
 void StoreStandIn::Write(const std::string& key, json item) {
   {
     const std::lock_guard<std::mutex> lock(this->mutex);
-    item["Revision"] = ++this->revision;
-    this->items[key] = std::move(item);
+    item["Revision"] = ++this->contents.revision;
+    this->contents.items[key] = std::move(item);
   }
   this->AnswerWatches();
 }
 
-json StoreStandIn::EventsAfter(std::uint64_t after) const {
-  json events = json::array();
-  for (const auto& [key, item] : this->items) {
-    if (item["Revision"].get<std::uint64_t>() > after) events.push_back(item);
+StoreCopy StoreStandIn::TakeCopy() const {
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  return this->contents;
+}
+
+void StoreStandIn::ReturnFromCopy(const StoreCopy& copy) {
+  std::vector<Watch> cut;  // dropped exchanges close their connections
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  this->contents = copy;
+  ++this->era;
+  cut.swap(this->watches);
+}
+
+void StoreStandIn::HideEra() {
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  this->is_era_hidden = true;
+}
+
+std::uint64_t StoreStandIn::Revision() const {
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  return this->contents.revision;
+}
+
+protocol::HttpResponse StoreStandIn::Answer(unsigned status,
+                                            const json& document) const {
+  protocol::HttpResponse response;
+  response.status = status;
+  if (!this->is_era_hidden) {
+    response.headers = {{wire::kStoreEra, std::to_string(this->era)}};
   }
-  return events;
+  response.body = document.dump();
+  return response;
 }
 
 protocol::HttpResponse StoreStandIn::Range() const {
   json present = json::array();
-  for (const auto& [key, item] : this->items) {
+  for (const auto& [key, item] : this->contents.items) {
     if (!item.contains("Deleted")) present.push_back(item);
   }
-  return Respond(200, {{"items", std::move(present)},
-                       {"HasMore", false},
-                       {"AsOf", this->revision}});
+  return this->Answer(kHttpOk, {{"items", std::move(present)},
+                                {"HasMore", false},
+                                {"AsOf", this->contents.revision}});
+}
+
+protocol::HttpResponse StoreStandIn::ChangesAfter(std::uint64_t after) const {
+  json events = json::array();
+  for (const auto& [key, item] : this->contents.items) {
+    if (item["Revision"].get<std::uint64_t>() > after) events.push_back(item);
+  }
+  return this->Answer(kHttpOk, {{"events", std::move(events)},
+                                {"AsOf", this->contents.revision}});
 }
 
 void StoreStandIn::AnswerWatches() {
@@ -109,10 +141,8 @@
   {
     const std::lock_guard<std::mutex> lock(this->mutex);
     for (Watch& watch : this->watches) {
-      answers.emplace_back(
-          std::move(watch.exchange),
-          Respond(200, {{"events", this->EventsAfter(watch.after)},
-                        {"AsOf", this->revision}}));
+      answers.emplace_back(std::move(watch.exchange),
+                           this->ChangesAfter(watch.after));
     }
     this->watches.clear();
   }
@@ -121,6 +151,22 @@
   }
 }
 
+void StoreStandIn::EndWatch(std::uint64_t number) {
+  Watch ended;
+  protocol::HttpResponse response;
+  {
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    const auto found = std::find_if(
+        this->watches.begin(), this->watches.end(),
+        [number](const Watch& watch) { return watch.number == number; });
+    if (found == this->watches.end()) return;
+    ended = std::move(*found);
+    this->watches.erase(found);
+    response = this->ChangesAfter(ended.after);
+  }
+  ended.exchange->Respond(std::move(response));
+}
+
 void StoreStandIn::Handle(std::shared_ptr<transport::HttpExchange> exchange) {
   ++this->calls;
   const std::string target = exchange->Request().target;
@@ -136,20 +182,24 @@
     return;
   }
   protocol::HttpResponse response;
+  const std::uint64_t after = ParseNumberAfter(target, "after=");
   if (this->mode == StoreMode::kRefusing) {
-    response = Respond(kHttpUnavailable, json::object());
+    response = this->Answer(kHttpUnavailable, json::object());
   } else if (!is_watch) {
     response = this->Range();
-  } else if (this->mode == StoreMode::kHistoryLost) {
-    response = Respond(kHttpGone, json::object());
+  } else if (this->mode == StoreMode::kHistoryLost ||
+             after > this->contents.revision) {
+    response = this->Answer(kHttpGone, json::object());
+  } else if (after == this->contents.revision) {
+    const std::uint64_t number = ++this->watch_count;
+    this->watches.push_back({number, after, std::move(exchange)});
+    const state::Duration wait = state::Milliseconds(
+        static_cast<std::int64_t>(ParseNumberAfter(target, "WaitMs=")));
+    this->timers.RunAt(this->clock.Now() + wait,
+                       [this, number] { this->EndWatch(number); });
+    return;
   } else {
-    const std::uint64_t after = ParseNumberAfter(target, "after=");
-    if (after >= this->revision) {
-      this->watches.push_back({after, std::move(exchange)});
-      return;
-    }
-    response = Respond(
-        200, {{"events", this->EventsAfter(after)}, {"AsOf", this->revision}});
+    response = this->ChangesAfter(after);
   }
   lock.unlock();
   exchange->Respond(std::move(response));
--- a/test/platform/edge/store_stand_in.h
+++ b/test/platform/edge/store_stand_in.h
@@ -12,8 +12,10 @@
 #include <vector>
 
 #include "banyanknot/state/endpoint.h"
+#include "banyanknot/transport/asio_timer_service.h"
 #include "banyanknot/transport/http_server.h"
 #include "banyanknot/transport/io_threads.h"
+#include "banyanknot/transport/steady_clock.h"
 
 namespace banyanknot::platform::edge_testing {
 
@@ -26,8 +28,16 @@
   kLosingReply,  ///< closes the connection instead of responding
 };
 
+/// \brief Contents of a store at one of its revisions.
+struct StoreCopy {
+  std::uint64_t revision = 0;
+  std::map<std::string, nlohmann::json> items;  ///< by key, with deleted ones
+};
+
 /// \brief A store that speaks the platform's protocol: range reads and watches.
 ///
+/// Its era starts at 1 and is named in all answers.
+///
 /// Thread-safe.
 class StoreStandIn : public transport::HttpHandler {
  public:
@@ -43,6 +53,15 @@
   void PutRaw(const std::string& key, const std::string& encoded);
   void Delete(const std::string& key);
 
+  StoreCopy TakeCopy() const;
+  /// \brief Cuts the open watches and goes back to `copy`, in a new era.
+  ///
+  /// Later revisions are given out again. The mode stays.
+  void ReturnFromCopy(const StoreCopy& copy);
+  /// \brief Leaves the era out of all answers, as older stores do.
+  void HideEra();
+  std::uint64_t Revision() const;
+
   /// \brief Returns the number of requests since the start.
   std::size_t Calls() const { return this->calls; }
 
@@ -50,23 +69,34 @@
 
  private:
   struct Watch {
+    std::uint64_t number = 0;
     std::uint64_t after = 0;
     std::shared_ptr<transport::HttpExchange> exchange;
   };
 
   void Write(const std::string& key, nlohmann::json item);
-  nlohmann::json EventsAfter(std::uint64_t after) const;
+  // These need the lock to be held.
+  protocol::HttpResponse Answer(unsigned status,
+                                const nlohmann::json& document) const;
   protocol::HttpResponse Range() const;
+  protocol::HttpResponse ChangesAfter(std::uint64_t after) const;
+
   void AnswerWatches();
+  /// Answers an open watch without events.
+  void EndWatch(std::uint64_t number);
 
   std::atomic<std::size_t> calls{0};
   mutable std::mutex mutex;
   StoreMode mode = StoreMode::kUp;
-  std::uint64_t revision = 1;
-  std::map<std::string, nlohmann::json> items;  // by key, with deleted ones
+  StoreCopy contents;
+  std::uint64_t era = 1;
+  bool is_era_hidden = false;
+  std::uint64_t watch_count = 0;
   std::vector<Watch> watches;
   std::vector<std::shared_ptr<transport::HttpExchange>> unanswered;
+  transport::SteadyClock clock;
   transport::IoThreads threads{1};
+  transport::AsioTimerService timers;
   transport::HttpServer server;
   std::uint16_t port = 0;
 };
