--- a/test/platform/edge/edge_delegation_test.cc
+++ b/test/platform/edge/edge_delegation_test.cc
@@ -74,19 +74,8 @@
     }));
     return answer;
   }
-  /// Returns the value of a metric of an edge; -1 if it can't be read.
-  static double Metric(const EdgeProcess& edge, const std::string& name) {
-    standins::BlockingHttpClient client(state::Milliseconds(2'000));
-    const transport::HttpCallResult result =
-        client.Call(edge.Metrics(), "GET", "/metrics", "");
-    if (!state::IsOk(result)) return -1;
-    const std::string& text = state::ValueOf(result).body;
-    const std::size_t found = text.find("\n" + name + " ");
-    if (found == std::string::npos) return -1;
-    return std::stod(text.substr(found + name.size() + 2));
-  }
   double Delegated() const {
-    return Metric(this->small, "banyanknot_relay_delegated_requests_total");
+    return this->small.ReadMetric("banyanknot_relay_delegated_requests_total");
   }
   bool WaitUntilDelegating() {
     return WaitFor([this] {
@@ -162,8 +151,7 @@
           RawCaller::Request("/all/1", RequestId(++fleet.requests)));
     }
     REQUIRE(WaitFor([&fleet] {
-      return DelegationWorld::Metric(
-                 fleet.roomy, "banyanknot_relay_requests_in_flight") == 4;
+      return fleet.roomy.ReadMetric("banyanknot_relay_requests_in_flight") == 4;
     }));
     stopped.Signal(SIGTERM);
     for (const std::unique_ptr<RawCaller>& caller : callers) {
@@ -394,7 +382,7 @@
   }
   /// Returns the version of the routes in force; 0 if the edge doesn't reply.
   static double Version(const EdgeProcess& edge) {
-    return DelegationWorld::Metric(edge, "banyanknot_routes_version");
+    return edge.ReadMetric("banyanknot_routes_version");
   }
   bool WaitForVersion(double version, int first) {
     return WaitFor([this, version, first] {
--- a/test/platform/edge/edge_world.cc
+++ b/test/platform/edge/edge_world.cc
@@ -127,6 +127,17 @@
   return state::IsOk(result) && state::ValueOf(result).status == 200;
 }
 
+double EdgeProcess::ReadMetric(const std::string& name) const {
+  standins::BlockingHttpClient client(kCallTimeout);
+  const transport::HttpCallResult result =
+      client.Call(this->metrics, "GET", "/metrics", "");
+  if (!state::IsOk(result)) return -1;
+  const std::string& text = state::ValueOf(result).body;
+  const std::size_t found = text.find("\n" + name + " ");
+  if (found == std::string::npos) return -1;
+  return std::stod(text.substr(found + name.size() + 2));
+}
+
 std::size_t EdgeProcess::ReadStatusKb(const std::string& field) const {
   std::ifstream status("/proc/" + std::to_string(this->process->Pid()) +
                        "/status");
@@ -225,6 +236,17 @@
                   RoutesJson(version, max_body_bytes, header_timeout));
 }
 
+void EdgeWorld::PutRoutesAnd(std::uint64_t version,
+                             const std::vector<RelayedRoute>& added) {
+  json routes = RoutesJson(version, 8'192, state::Milliseconds(3'000));
+  for (const RelayedRoute& route : added) {
+    routes["Routes"].push_back(
+        RouteJson(route.prefix.c_str(), route.prefix.c_str(), "idempotent"));
+    routes["Routes"].back()["Service"] = route.service;
+  }
+  this->store.Put(wire::kRoutesKey, routes);
+}
+
 void EdgeWorld::PutWorkspaces(std::uint64_t version, const json& workspaces) {
   json routes = RoutesJson(version, 8'192, state::Milliseconds(3'000));
   routes["Routes"][0]["AuthExempt"] = true;
--- a/test/platform/edge/edge_world.h
+++ b/test/platform/edge/edge_world.h
@@ -56,6 +56,8 @@
   std::optional<nlohmann::json> WaitForEvent(const std::string& name,
                                              state::Duration timeout);
   bool IsReady();
+  /// \brief Returns the value of a metric; -1 if it can't be read.
+  double ReadMetric(const std::string& name) const;
   /// \brief Returns the most memory that was resident since its start.
   std::size_t PeakResidentKb() const;
   std::size_t ResidentKb() const;
@@ -79,6 +81,12 @@
   std::size_t max_descriptors = 0;  // 0 for that of the test
 };
 
+/// \brief A route of idempotent requests to one service.
+struct RelayedRoute {
+  std::string prefix;
+  std::string service;
+};
+
 /// \brief A store with routes, and the servers registered in it.
 ///
 /// The service `desk` has the servers d1 and d2, with the routes /desk/
@@ -102,6 +110,9 @@
   void Register(const std::string& id, std::uint16_t port);
   void PutRoutes(std::uint64_t version, std::size_t max_body_bytes = 8'192,
                  state::Duration header_timeout = state::Milliseconds(3'000));
+  /// \brief Publishes the routes and further ones.
+  void PutRoutesAnd(std::uint64_t version,
+                    const std::vector<RelayedRoute>& added);
   /// \brief Publishes the routes with workspaces; /desk/ needs no key.
   void PutWorkspaces(std::uint64_t version, const nlohmann::json& workspaces);
 
