Tests: a store that returns from a copy, with real edge processes

Callers got the old service of a moved route, and 404 on an added one, where the version that moved it was written at a revision that the store had given out before: the host went on waiting for changes after that revision. Servers of a domain that was taken out of service got requests until its entry was written again.

--- a/test/platform/edge/store_stand_in.cc
+++ b/test/platform/edge/store_stand_in.cc
@@ -76,7 +76,12 @@
   {
     const std::lock_guard<std::mutex> lock(this->mutex);
     item["Revision"] = ++this->contents.revision;
-    this->contents.items[key] = std::move(item);
+    if (item.contains("Deleted")) {
+      this->contents.items.erase(key);
+    } else {
+      this->contents.items[key] = item;
+    }
+    this->contents.events.push_back(std::move(item));
   }
   this->AnswerWatches();
 }
@@ -117,9 +122,7 @@
 
 protocol::HttpResponse StoreStandIn::Range() const {
   json present = json::array();
-  for (const auto& [key, item] : this->contents.items) {
-    if (!item.contains("Deleted")) present.push_back(item);
-  }
+  for (const auto& [key, item] : this->contents.items) present.push_back(item);
   return this->Answer(kHttpOk, {{"items", std::move(present)},
                                 {"HasMore", false},
                                 {"AsOf", this->contents.revision}});
@@ -127,8 +130,8 @@
 
 protocol::HttpResponse StoreStandIn::ChangesAfter(std::uint64_t after) const {
   json events = json::array();
-  for (const auto& [key, item] : this->contents.items) {
-    if (item["Revision"].get<std::uint64_t>() > after) events.push_back(item);
+  for (const json& event : this->contents.events) {
+    if (event["Revision"].get<std::uint64_t>() > after) events.push_back(event);
   }
   return this->Answer(kHttpOk, {{"events", std::move(events)},
                                 {"AsOf", this->contents.revision}});
--- a/test/platform/edge/store_stand_in.h
+++ b/test/platform/edge/store_stand_in.h
@@ -31,7 +31,8 @@
 /// \brief Contents of a store at one of its revisions.
 struct StoreCopy {
   std::uint64_t revision = 0;
-  std::map<std::string, nlohmann::json> items;  ///< by key, with deleted ones
+  std::map<std::string, nlohmann::json> items;  ///< by key
+  std::vector<nlohmann::json> events;           ///< oldest first
 };
 
 /// \brief A store that speaks the platform's protocol: range reads and watches.
