Read the source anew when it returns from a copy of its data

Callers saw: after a return of the store, requests ran on the old service of a moved route, and an added route got 404, until the next version was published; at some of the hosts or all, in one process, with nothing in the log.

Cause: the position in the source's history was a bare revision. A store that returns from a copy gives revisions out again; a host that had reached N went on watching after N, and what was written anew up to N never reached it.

A store behind the hosts' revision answers 410, which was right before.

Why this works: a position is an era and a revision, ordered as such. Followers read it from a watcher that is in the new era, so the source isn't called by all. The first watch after a failure ends after 200 ms, since only an answer tells the era.

--- a/include/banyanknot/coordination/delegation/change_history.h
+++ b/include/banyanknot/coordination/delegation/change_history.h
@@ -12,12 +12,13 @@
 #include <vector>
 
 #include "banyanknot/coordination/routing/routing_source.h"
+#include "banyanknot/state/routing/source_position.h"
 
 namespace banyanknot::coordination {
 
 /// \brief Published changes as one host passes them on to another.
 struct PassedChanges {
-  std::uint64_t revision = 0;
+  state::SourcePosition position;
   /// Since the passing host last heard from the source itself.
   state::Duration age{0};
   /// The source has just returned: entries that lapsed may be written again.
@@ -44,23 +45,24 @@
   /// \brief Records that the source returned after a failure.
   void RecordReturn(state::TimePoint now);
 
-  /// \brief Returns the changes after a revision, oldest first.
-  PassedChanges After(std::uint64_t revision, state::TimePoint now) const;
+  /// \brief Returns the changes after a position, oldest first.
+  PassedChanges After(const state::SourcePosition& after,
+                      state::TimePoint now) const;
   PassedChanges Snapshot(state::TimePoint now) const;
 
-  /// \brief Calls `handler` once with the next change after `revision`; at once
+  /// \brief Calls `handler` once with the next change after `after`; at once
   /// if there is one. It is dropped if nothing else holds it.
-  void NotifyAfter(std::uint64_t revision,
+  void NotifyAfter(const state::SourcePosition& after,
                    const std::shared_ptr<std::function<void()>>& handler);
 
  private:
   struct Batch {
-    std::uint64_t revision = 0;
+    std::uint64_t revision = 0;  // in the era of `position`
     std::vector<EncodedChange> changes;
     std::size_t bytes = 0;
   };
   struct Waiter {
-    std::uint64_t revision = 0;
+    state::SourcePosition after;
     std::weak_ptr<std::function<void()>> handler;
   };
 
@@ -70,7 +72,7 @@
 
   mutable std::mutex mutex;
   bool has_snapshot = false;
-  std::uint64_t revision = 0;
+  state::SourcePosition position;
   std::uint64_t oldest_revision = 0;  // changes after it are known
   state::TimePoint confirmed_at;
   state::TimePoint returned_at = state::TimePoint::min();
--- a/include/banyanknot/coordination/delegation/host_link.h
+++ b/include/banyanknot/coordination/delegation/host_link.h
@@ -47,9 +47,10 @@
   virtual void ExchangeAdverts(const state::Endpoint& host,
                                const state::HostAdvert& own,
                                AdvertsHandler handler) = 0;
-  /// \brief Waits up to `wait` for published changes after revision `after`
-  /// that another host heard of.
-  virtual void FollowChanges(const state::Endpoint& host, std::uint64_t after,
+  /// \brief Waits up to `wait` for published changes after the position
+  /// `after` that another host heard of.
+  virtual void FollowChanges(const state::Endpoint& host,
+                             const state::SourcePosition& after,
                              state::Duration wait, ChangesHandler handler) = 0;
   /// \brief Asks another host for all that is published.
   virtual void ReadSnapshot(const state::Endpoint& host,
--- a/include/banyanknot/coordination/delegation/shared_source.h
+++ b/include/banyanknot/coordination/delegation/shared_source.h
@@ -15,6 +15,7 @@
 #include "banyanknot/coordination/event_log.h"
 #include "banyanknot/coordination/metric_source.h"
 #include "banyanknot/coordination/routing/routing_source.h"
+#include "banyanknot/state/routing/source_position.h"
 
 namespace banyanknot::coordination {
 
@@ -41,7 +42,7 @@
                ChangeHistory& history, EventLog& log);
 
   void ReadAll(RoutingBatchHandler handler) override;
-  void Watch(std::uint64_t after, state::Duration wait,
+  void Watch(const state::SourcePosition& after, state::Duration wait,
              RoutingBatchHandler handler) override;
   void CollectMetrics(std::vector<MetricSample>& samples) const override;
 
@@ -57,10 +58,13 @@
   void LeaveOut(const state::HostId& host,
                 const std::optional<PassedChanges>& passed);
   void ReadSource(RoutingBatchHandler handler);
-  void WatchSource(std::uint64_t after, state::Duration wait,
+  void WatchSource(const state::SourcePosition& after, state::Duration wait,
                    RoutingBatchHandler handler);
   RoutingBatch ToBatch(const PassedChanges& passed);
-  void RecordRevision(std::uint64_t revision);
+  void RecordPosition(const state::SourcePosition& position);
+  /// \brief Records where the source itself is, even if it has gone back.
+  /// \returns true if it is in another era than before
+  bool RecordSnapshotPosition(const state::SourcePosition& position);
   bool IsUsableSnapshot(const PassedChanges& passed, bool accepts_stale) const;
   void OnSourceResult(const state::Result<RoutingBatch, SourceFailure>& result,
                       state::TimePoint now);
@@ -79,7 +83,7 @@
   mutable std::mutex mutex;
   std::map<state::HostId, state::TimePoint> left_out_until;
   std::optional<state::TimePoint> source_failed_at;
-  std::uint64_t newest_revision = 0;
+  std::optional<state::SourcePosition> newest_position;  // of those heard of
 };
 
 }  // namespace banyanknot::coordination
--- a/include/banyanknot/coordination/routing/routing_source.h
+++ b/include/banyanknot/coordination/routing/routing_source.h
@@ -45,7 +45,7 @@
   std::string key;
   std::string text;
   bool is_removal = false;
-  std::uint64_t revision = 0;
+  std::uint64_t revision = 0;  ///< in the era of its batch
 };
 
 /// \brief The changes up to a position, or a snapshot at it.
@@ -68,8 +68,14 @@
       const EncodedChange& change) const = 0;
 };
 
-using RoutingBatchHandler =
-    std::function<void(state::Result<RoutingBatch, SourceFailure>)>;
+using RoutingBatchResult = state::Result<RoutingBatch, SourceFailure>;
+using RoutingBatchHandler = std::function<void(RoutingBatchResult)>;
+
+/// \brief Checks the changes that a source returned for those after `after`.
+/// \returns the changes; kEraChanged if they are of another era, in which
+///     others may be missing between `after` and them
+RoutingBatchResult RequireContinuation(const state::SourcePosition& after,
+                                       RoutingBatch batch);
 
 /// \brief Source of routes, servers and failure domains out of service.
 ///
@@ -80,8 +86,9 @@
   virtual ~RoutingSource() = default;
   /// \brief Reads a complete snapshot; what is not in it does not exist.
   virtual void ReadAll(RoutingBatchHandler handler) = 0;
-  /// \brief Waits up to `wait` for changes after revision `after`.
-  virtual void Watch(std::uint64_t after, state::Duration wait,
+  /// \brief Waits up to `wait` for changes after the position `after`; fails
+  /// with kEraChanged if the source is in another era.
+  virtual void Watch(const state::SourcePosition& after, state::Duration wait,
                      RoutingBatchHandler handler) = 0;
 };
 
--- a/include/banyanknot/coordination/routing/source_failure.h
+++ b/include/banyanknot/coordination/routing/source_failure.h
@@ -16,10 +16,11 @@
   kMalformed,    ///< the response could not be decoded
   kTooLarge,     ///< the response exceeds its size limit
   kHistoryGone,  ///< the revision has been compacted
+  kEraChanged,   ///< the source has returned from a copy of its data
 };
 
 /// \brief Names of SourceFailure in messages and logs.
-inline constexpr std::array<state::EnumName<SourceFailure>, 6>
+inline constexpr std::array<state::EnumName<SourceFailure>, 7>
     kSourceFailureNames{{
         {SourceFailure::kUnreachable, "unreachable"},
         {SourceFailure::kSilent, "silent"},
@@ -27,6 +28,7 @@
         {SourceFailure::kMalformed, "malformed"},
         {SourceFailure::kTooLarge, "too_large"},
         {SourceFailure::kHistoryGone, "history_gone"},
+        {SourceFailure::kEraChanged, "era_changed"},
     }};
 
 /// \brief Returns the name of a SourceFailure.
@@ -34,6 +36,13 @@
   return state::FindName(kSourceFailureNames, value);
 }
 
+/// \brief Tells whether the source answered, but can't continue from the
+/// position that it was asked for: only a snapshot gets the newest state.
+constexpr bool NeedsSnapshot(SourceFailure failure) {
+  return failure == SourceFailure::kHistoryGone ||
+         failure == SourceFailure::kEraChanged;
+}
+
 }  // namespace banyanknot::coordination
 
 #endif  // BANYANKNOT_COORDINATION_ROUTING_SOURCE_FAILURE_H_
--- a/include/banyanknot/protocol/fleet_codec.h
+++ b/include/banyanknot/protocol/fleet_codec.h
@@ -24,7 +24,8 @@
 /// \brief Path at which a relay host shows that a connection works (GET).
 inline constexpr const char* kFleetLivePath = "/fleet/live";
 /// \brief Path at which a relay host passes on published changes (GET). Its
-/// query has `after` and `wait_ms`, or nothing for all that is published.
+/// query has `after`, `wait_ms` and, unless it is 0, `era`, or nothing for all
+/// that is published.
 inline constexpr const char* kChangesPath = "/fleet/changes";
 /// \brief Header of a reply to a request that was not started; says why.
 inline constexpr const char* kDeclinedHeader = "Banyanknot-Declined";
@@ -72,7 +73,7 @@
 /// \brief A request for published changes.
 struct ChangesQuery {
   bool wants_snapshot = false;
-  std::uint64_t after = 0;
+  state::SourcePosition after;
   state::Duration wait{0};
 };
 
--- a/include/banyanknot/transport/host_http_link.h
+++ b/include/banyanknot/transport/host_http_link.h
@@ -31,8 +31,8 @@
   void ExchangeAdverts(const state::Endpoint& host,
                        const state::HostAdvert& own,
                        coordination::AdvertsHandler handler) override;
-  void FollowChanges(const state::Endpoint& host, std::uint64_t after,
-                     state::Duration wait,
+  void FollowChanges(const state::Endpoint& host,
+                     const state::SourcePosition& after, state::Duration wait,
                      coordination::ChangesHandler handler) override;
   void ReadSnapshot(const state::Endpoint& host,
                     coordination::ChangesHandler handler) override;
--- a/src/coordination/delegation/change_history.cc
+++ b/src/coordination/delegation/change_history.cc
@@ -19,7 +19,7 @@
     const std::lock_guard<std::mutex> lock(this->mutex);
     this->has_snapshot = true;
     this->confirmed_at = now;
-    this->revision = snapshot.position.revision;
+    this->position = snapshot.position;
     this->oldest_revision = snapshot.position.revision;
     this->batches.clear();
     this->batch_bytes = 0;
@@ -47,7 +47,7 @@
       return;
     }
     Batch added;
-    added.revision = std::max(batch.position.revision, this->revision);
+    added.revision = std::max(batch.position.revision, this->position.revision);
     added.changes = batch.encoded;
     for (const EncodedChange& change : batch.encoded) {
       added.bytes += change.key.size() + change.text.size();
@@ -57,7 +57,7 @@
         this->present[change.key] = change.text;
       }
     }
-    this->revision = added.revision;
+    this->position.revision = added.revision;
     this->batch_bytes += added.bytes;
     this->batches.push_back(std::move(added));
     this->Trim();
@@ -84,8 +84,7 @@
   std::vector<Waiter> others;
   for (Waiter& waiter : this->waiters) {
     if (waiter.handler.expired()) continue;
-    (waiter.revision < this->revision ? due : others)
-        .push_back(std::move(waiter));
+    (waiter.after < this->position ? due : others).push_back(std::move(waiter));
   }
   this->waiters = std::move(others);
   return due;
@@ -98,25 +97,27 @@
 
 PassedChanges ChangeHistory::Header(state::TimePoint now) const {
   PassedChanges passed;
-  passed.revision = this->revision;
+  passed.position = this->position;
   passed.age = now - this->confirmed_at;
   passed.defers_removals = this->returned_at != state::TimePoint::min() &&
                            now - this->returned_at < kDeferredRemovalWindow;
   return passed;
 }
 
-PassedChanges ChangeHistory::After(std::uint64_t after,
+PassedChanges ChangeHistory::After(const state::SourcePosition& after,
                                    state::TimePoint now) const {
   const std::lock_guard<std::mutex> lock(this->mutex);
   PassedChanges passed = this->Header(now);
-  passed.is_history_gone = !this->has_snapshot || after < this->oldest_revision;
+  passed.is_history_gone = !this->has_snapshot ||
+                           after.era != this->position.era ||
+                           after.revision < this->oldest_revision;
   if (passed.is_history_gone) return passed;
   for (const Batch& batch : this->batches) {
-    if (batch.revision <= after) continue;
+    if (batch.revision <= after.revision) continue;
     std::copy_if(batch.changes.begin(), batch.changes.end(),
                  std::back_inserter(passed.changes),
-                 [after](const EncodedChange& change) {
-                   return change.revision > after;
+                 [&after](const EncodedChange& change) {
+                   return change.revision > after.revision;
                  });
   }
   return passed;
@@ -128,17 +129,17 @@
   passed.is_snapshot = this->has_snapshot;
   passed.is_history_gone = !this->has_snapshot;
   for (const auto& [key, text] : this->present) {
-    passed.changes.push_back({key, text, false, this->revision});
+    passed.changes.push_back({key, text, false, this->position.revision});
   }
   return passed;
 }
 
 void ChangeHistory::NotifyAfter(
-    std::uint64_t after,
+    const state::SourcePosition& after,
     const std::shared_ptr<std::function<void()>>& handler) {
   {
     const std::lock_guard<std::mutex> lock(this->mutex);
-    if (this->revision <= after) {
+    if (this->position <= after) {
       this->waiters.push_back({after, handler});
       return;
     }
--- a/src/coordination/delegation/shared_source.cc
+++ b/src/coordination/delegation/shared_source.cc
@@ -13,11 +13,9 @@
 /// those without news of it, so that not every host calls it again and again.
 constexpr state::Duration kSourcePause = state::Milliseconds(1'200);
 
-/// Tells whether the source failed to answer. One whose history is gone has
-/// answered, and a read of it gets the newest state.
+/// Tells whether the source failed to answer.
 bool HasFailed(const state::Result<RoutingBatch, SourceFailure>& result) {
-  return !state::IsOk(result) &&
-         state::ErrorOf(result) != SourceFailure::kHistoryGone;
+  return !state::IsOk(result) && !NeedsSnapshot(state::ErrorOf(result));
 }
 
 }  // namespace
@@ -97,7 +95,7 @@
 
 RoutingBatch SharedSource::ToBatch(const PassedChanges& passed) {
   RoutingBatch batch;
-  batch.position.revision = passed.revision;
+  batch.position = passed.position;
   batch.is_passed_on = true;
   batch.is_stale = passed.age > kMaxAge;
   batch.defers_removals = passed.defers_removals;
@@ -105,13 +103,23 @@
     std::optional<RoutingChange> change = this->decoder.Decode(encoded);
     if (change) batch.changes.push_back(std::move(*change));
   }
-  this->RecordRevision(batch.position.revision);
+  this->RecordPosition(batch.position);
   return batch;
 }
 
-void SharedSource::RecordRevision(std::uint64_t revision) {
+void SharedSource::RecordPosition(const state::SourcePosition& position) {
   const std::lock_guard<std::mutex> lock(this->mutex);
-  this->newest_revision = std::max(this->newest_revision, revision);
+  this->newest_position =
+      std::max(this->newest_position.value_or(position), position);
+}
+
+bool SharedSource::RecordSnapshotPosition(
+    const state::SourcePosition& position) {
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  const state::SourcePosition newest = this->newest_position.value_or(position);
+  const bool is_other_era = position.era != newest.era;
+  this->newest_position = is_other_era ? position : std::max(newest, position);
+  return is_other_era;
 }
 
 bool SharedSource::IsUsableSnapshot(const PassedChanges& passed,
@@ -120,7 +128,7 @@
   if (passed.age > kMaxAge && !accepts_stale) return false;
   // An older one would undo what this host knows.
   const std::lock_guard<std::mutex> lock(this->mutex);
-  return passed.revision >= this->newest_revision;
+  return !this->newest_position || passed.position >= *this->newest_position;
 }
 
 void SharedSource::ReadSource(RoutingBatchHandler handler) {
@@ -130,8 +138,11 @@
     const state::TimePoint now = this->clock.Now();
     this->OnSourceResult(result, now);
     if (state::IsOk(result)) {
-      this->RecordRevision(state::ValueOf(result).position.revision);
-      this->history.RecordSnapshot(state::ValueOf(result), now);
+      const RoutingBatch& batch = state::ValueOf(result);
+      if (this->RecordSnapshotPosition(batch.position)) {
+        this->history.RecordReturn(now);
+      }
+      this->history.RecordSnapshot(batch, now);
     }
     handler(std::move(result));
   });
@@ -161,29 +172,30 @@
       });
 }
 
-void SharedSource::WatchSource(std::uint64_t after, state::Duration wait,
+void SharedSource::WatchSource(const state::SourcePosition& after,
+                               state::Duration wait,
                                RoutingBatchHandler handler) {
   ++this->source_calls;
   const state::Duration own_wait =
       this->roster.MayHaveFollowers(this->clock.Now())
           ? std::min(wait, kWatcherWait)
           : wait;
-  this->source.Watch(
-      after, own_wait,
-      [this, handler = std::move(handler)](
-          state::Result<RoutingBatch, SourceFailure> result) {
-        const state::TimePoint now = this->clock.Now();
-        this->OnSourceResult(result, now);
-        if (state::IsOk(result)) {
-          this->RecordRevision(state::ValueOf(result).position.revision);
-          this->history.RecordChanges(state::ValueOf(result), now);
-        }
-        handler(std::move(result));
-      });
+  this->source.Watch(after, own_wait,
+                     [this, handler = std::move(handler)](
+                         state::Result<RoutingBatch, SourceFailure> result) {
+                       const state::TimePoint now = this->clock.Now();
+                       this->OnSourceResult(result, now);
+                       if (state::IsOk(result)) {
+                         this->RecordPosition(state::ValueOf(result).position);
+                         this->history.RecordChanges(state::ValueOf(result),
+                                                     now);
+                       }
+                       handler(std::move(result));
+                     });
 }
 
-void SharedSource::Watch(std::uint64_t after, state::Duration wait,
-                         RoutingBatchHandler handler) {
+void SharedSource::Watch(const state::SourcePosition& after,
+                         state::Duration wait, RoutingBatchHandler handler) {
   const std::optional<Choice> choice = this->ChooseWatcher(this->clock.Now());
   if (!choice) {
     this->WatchSource(after, wait, std::move(handler));
@@ -201,6 +213,10 @@
           handler(this->ToBatch(*passed));
           return;
         }
+        if (passed && passed->position.era > after.era) {
+          handler(SourceFailure::kEraChanged);
+          return;
+        }
         this->LeaveOut(choice.watcher.id, passed);
         if (!passed) this->roster.Suspect(choice.watcher.id, now);
         const bool has_other = !passed || (this->HasSourceJustFailed(now) &&
--- a/src/coordination/routing/source_follower.cc
+++ b/src/coordination/routing/source_follower.cc
@@ -12,6 +12,9 @@
 /// a watch and for a new connection.
 constexpr state::Duration kContactMargin = state::Milliseconds(1'500);
 constexpr state::Duration kMinWatchWait = state::Milliseconds(1'000);
+/// After a failure, the source may be in another era, which only its response
+/// tells.
+constexpr state::Duration kReturnWatchWait = state::Milliseconds(200);
 /// Delay after a watch that returned changes, so that the next returns several:
 /// servers that start together register one by one, and each call is charged.
 constexpr state::Duration kBatchingDelay = state::Milliseconds(600);
@@ -61,7 +64,7 @@
 
 void SourceFollower::Watch() {
   this->source.Watch(
-      this->position.revision, this->watch_wait,
+      this->position, this->is_lost ? kReturnWatchWait : this->watch_wait,
       [this](const state::Result<RoutingBatch, SourceFailure>& result) {
         this->OnWatched(result);
       });
@@ -70,18 +73,14 @@
 void SourceFollower::OnWatched(
     const state::Result<RoutingBatch, SourceFailure>& result) {
   if (!state::IsOk(result)) {
-    if (state::ErrorOf(result) == SourceFailure::kHistoryGone) {
-      this->has_read = false;
-    }
+    if (NeedsSnapshot(state::ErrorOf(result))) this->has_read = false;
     this->OnFailure(state::ErrorOf(result));
     return;
   }
   const RoutingBatch& batch = state::ValueOf(result);
   if (!batch.is_stale) this->OnSuccess(batch);
-  this->RecordEra(batch.position);
   this->intake.Apply(batch, this->RemovalModeOf(batch));
-  this->SetPosition({std::max(this->position.revision, batch.position.revision),
-                     batch.position.era});
+  this->SetPosition(std::max(this->position, batch.position));
   // Another host has batched the changes that it passes on.
   if (batch.changes.empty() || batch.is_passed_on) {
     this->Watch();
--- a/src/protocol/fleet_codec.cc
+++ b/src/protocol/fleet_codec.cc
@@ -214,7 +214,8 @@
                        {"revision", change.revision}});
   }
   const nlohmann::json document = {
-      {"revision", passed.revision},
+      {"revision", passed.position.revision},
+      {"era", passed.position.era},
       {"age_ms",
        std::clamp<std::int64_t>(state::ToMilliseconds(passed.age), 0,
                                 static_cast<std::int64_t>(kMaxAgeMs))},
@@ -233,7 +234,9 @@
   if (!state::IsOk(document)) return state::ErrorOf(document);
   JsonReader reader(state::ValueOf(document), "");
   coordination::PassedChanges passed;
-  passed.revision = reader.Unsigned("revision", kMaxRevision);
+  passed.position.revision = reader.Unsigned("revision", kMaxRevision);
+  // Hosts of earlier releases send none.
+  passed.position.era = reader.UnsignedOr("era", 0, kMaxRevision);
   passed.age = state::Milliseconds(
       static_cast<std::int64_t>(reader.Unsigned("age_ms", kMaxAgeMs)));
   passed.defers_removals = reader.BoolOr("defers_removals", false);
@@ -256,8 +259,13 @@
 
 std::string EncodeChangesTarget(const ChangesQuery& query) {
   if (query.wants_snapshot) return kChangesPath;
-  return std::string(kChangesPath) + "?after=" + std::to_string(query.after) +
-         "&wait_ms=" + std::to_string(state::ToMilliseconds(query.wait));
+  std::string target =
+      std::string(kChangesPath) +
+      "?after=" + std::to_string(query.after.revision) +
+      "&wait_ms=" + std::to_string(state::ToMilliseconds(query.wait));
+  // Hosts of earlier releases, which know no eras, refuse other forms.
+  if (query.after.era == 0) return target;
+  return target + "&era=" + std::to_string(query.after.era);
 }
 
 std::optional<ChangesQuery> DecodeChangesTarget(const std::string& target) {
@@ -268,16 +276,23 @@
   }
   const std::string prefix = std::string(kChangesPath) + "?after=";
   constexpr std::string_view kWait = "&wait_ms=";
+  constexpr std::string_view kEra = "&era=";
   if (target.compare(0, prefix.size(), prefix) != 0) return std::nullopt;
   const std::string_view rest = std::string_view(target).substr(prefix.size());
   const std::size_t split = rest.find(kWait);
   if (split == std::string_view::npos) return std::nullopt;
   const std::optional<std::uint64_t> after =
       ParseWhole<std::uint64_t>(rest.substr(0, split));
-  const std::optional<std::uint64_t> wait_ms =
-      ParseWhole<std::uint64_t>(rest.substr(split + kWait.size()));
-  if (!after || !wait_ms || *wait_ms > kMaxWaitMs) return std::nullopt;
-  query.after = *after;
+  std::string_view wait = rest.substr(split + kWait.size());
+  std::optional<std::uint64_t> era = 0;
+  const std::size_t era_at = wait.find(kEra);
+  if (era_at != std::string_view::npos) {
+    era = ParseWhole<std::uint64_t>(wait.substr(era_at + kEra.size()));
+    wait = wait.substr(0, era_at);
+  }
+  const std::optional<std::uint64_t> wait_ms = ParseWhole<std::uint64_t>(wait);
+  if (!after || !wait_ms || !era || *wait_ms > kMaxWaitMs) return std::nullopt;
+  query.after = {*after, *era};
   query.wait = state::Milliseconds(static_cast<std::int64_t>(*wait_ms));
   return query;
 }
--- a/src/transport/host_http_link.cc
+++ b/src/transport/host_http_link.cc
@@ -199,7 +199,8 @@
 }
 
 void HostHttpLink::FollowChanges(const state::Endpoint& host,
-                                 std::uint64_t after, state::Duration wait,
+                                 const state::SourcePosition& after,
+                                 state::Duration wait,
                                  coordination::ChangesHandler handler) {
   this->GetChanges(host, protocol::EncodeChangesTarget({false, after, wait}),
                    wait + kFollowMargin, std::move(handler));
@@ -207,7 +208,7 @@
 
 void HostHttpLink::ReadSnapshot(const state::Endpoint& host,
                                 coordination::ChangesHandler handler) {
-  this->GetChanges(host, protocol::EncodeChangesTarget({true, 0, {}}),
+  this->GetChanges(host, protocol::EncodeChangesTarget({true, {}, {}}),
                    kSnapshotTimeout, std::move(handler));
 }
 
--- a/test/coordination/delegation/advert_exchange_test.cc
+++ b/test/coordination/delegation/advert_exchange_test.cc
@@ -29,7 +29,8 @@
         DelegationHandler /*handler*/) override {
       return nullptr;
     }
-    void FollowChanges(const state::Endpoint& /*host*/, std::uint64_t /*after*/,
+    void FollowChanges(const state::Endpoint& /*host*/,
+                       const state::SourcePosition& /*after*/,
                        state::Duration /*wait*/,
                        ChangesHandler handler) override {
       handler(std::nullopt);
--- a/test/coordination/delegation/change_history_test.cc
+++ b/test/coordination/delegation/change_history_test.cc
@@ -13,9 +13,10 @@
 
 const state::TimePoint kStart{Milliseconds(100'000)};
 
-RoutingBatch Batch(std::uint64_t revision, std::vector<EncodedChange> encoded) {
+RoutingBatch Batch(std::uint64_t revision, std::vector<EncodedChange> encoded,
+                   std::uint64_t era = 0) {
   RoutingBatch batch;
-  batch.position.revision = revision;
+  batch.position = {revision, era};
   batch.encoded = std::move(encoded);
   return batch;
 }
@@ -30,38 +31,40 @@
 
 TEST_CASE("A follower gets just the changes after its revision, in order") {
   ChangeHistory history;
-  CHECK(history.After(0, kStart).is_history_gone);
+  CHECK(history.After({0}, kStart).is_history_gone);
   CHECK(history.Snapshot(kStart).is_history_gone);
   history.RecordSnapshot(Batch(10, {{"a", "a1", false, 5}}), kStart);
   history.RecordChanges(
       Batch(14, {{"b", "b1", false, 12}, {"a", "", true, 14}}), kStart);
   history.RecordChanges(Batch(20, {{"c", "c1", false, 20}}), kStart);
-  CHECK(KeysOf(history.After(10, kStart)) ==
+  CHECK(KeysOf(history.After({10}, kStart)) ==
         std::vector<std::string>{"b", "a", "c"});
   // Followed directly for a while, in other batches.
-  CHECK(KeysOf(history.After(12, kStart)) ==
+  CHECK(KeysOf(history.After({12}, kStart)) ==
         std::vector<std::string>{"a", "c"});
-  CHECK(history.After(20, kStart).changes.empty());
-  CHECK(history.After(99, kStart).changes.empty());
-  CHECK(history.After(10, kStart).revision == 20);
-  CHECK(history.After(9, kStart).is_history_gone);
+  CHECK(history.After({20}, kStart).changes.empty());
+  CHECK(history.After({99}, kStart).changes.empty());
+  CHECK(history.After({10}, kStart).position.revision == 20);
+  CHECK(history.After({9}, kStart).is_history_gone);
   const PassedChanges snapshot = history.Snapshot(kStart);
   CHECK(snapshot.is_snapshot);
-  CHECK(snapshot.revision == 20);
+  CHECK(snapshot.position.revision == 20);
   CHECK(KeysOf(snapshot) == std::vector<std::string>{"b", "c"});
 }
 
 TEST_CASE("The history is as old as the last word from the source") {
   ChangeHistory history;
   history.RecordSnapshot(Batch(10, {}), kStart);
-  CHECK(history.After(10, kStart + Milliseconds(700)).age == Milliseconds(700));
+  CHECK(history.After({10}, kStart + Milliseconds(700)).age ==
+        Milliseconds(700));
   history.RecordChanges(Batch(10, {}), kStart + Milliseconds(900));
-  CHECK(history.After(10, kStart + Milliseconds(1'000)).age ==
+  CHECK(history.After({10}, kStart + Milliseconds(1'000)).age ==
         Milliseconds(100));
-  CHECK_FALSE(history.After(10, kStart).defers_removals);
+  CHECK_FALSE(history.After({10}, kStart).defers_removals);
   history.RecordReturn(kStart + Milliseconds(1'000));
-  CHECK(history.After(10, kStart + Milliseconds(1'500)).defers_removals);
-  CHECK_FALSE(history.After(10, kStart + Milliseconds(4'000)).defers_removals);
+  CHECK(history.After({10}, kStart + Milliseconds(1'500)).defers_removals);
+  CHECK_FALSE(
+      history.After({10}, kStart + Milliseconds(4'000)).defers_removals);
 }
 
 TEST_CASE("Old changes are forgotten, and said to be") {
@@ -72,19 +75,18 @@
         Batch(revision, {{"k", std::string(100, 'x'), false, revision}}),
         kStart);
   }
-  CHECK(history.After(1, kStart).is_history_gone);
-  CHECK(history.After(998, kStart).changes.size() == 1);
-  CHECK(
-      history.After(999 - ChangeHistory::kMaxBatches, kStart).changes.size() ==
-      ChangeHistory::kMaxBatches);
+  CHECK(history.After({1}, kStart).is_history_gone);
+  CHECK(history.After({998}, kStart).changes.size() == 1);
+  CHECK(history.After({999 - ChangeHistory::kMaxBatches}, kStart)
+            .changes.size() == ChangeHistory::kMaxBatches);
   CHECK(history.Snapshot(kStart).changes.size() == 1);
   for (std::uint64_t revision = 1'000; revision < 1'010; ++revision) {
     history.RecordChanges(
         Batch(revision, {{"k", std::string(1u << 20, 'x'), false, revision}}),
         kStart);
   }
-  CHECK(history.After(1'000, kStart).is_history_gone);
-  CHECK(history.After(1'008, kStart).changes.size() == 1);
+  CHECK(history.After({1'000}, kStart).is_history_gone);
+  CHECK(history.After({1'008}, kStart).changes.size() == 1);
 }
 
 TEST_CASE("Waiting followers are told of the next change once") {
@@ -93,23 +95,45 @@
   int calls = 0;
   const std::shared_ptr<std::function<void()>> handler =
       std::make_shared<std::function<void()>>([&calls] { ++calls; });
-  history.NotifyAfter(10, handler);
+  history.NotifyAfter({10}, handler);
   history.RecordChanges(Batch(10, {}), kStart);
   CHECK(calls == 0);
   history.RecordChanges(Batch(11, {{"a", "", false, 11}}), kStart);
   CHECK(calls == 1);
   history.RecordChanges(Batch(12, {{"a", "", false, 12}}), kStart);
   CHECK(calls == 1);
-  history.NotifyAfter(11, handler);  // there is one already
+  history.NotifyAfter({11}, handler);  // there is one already
   CHECK(calls == 2);
   {
     const std::shared_ptr<std::function<void()>> gone =
         std::make_shared<std::function<void()>>([&calls] { ++calls; });
-    history.NotifyAfter(12, gone);
+    history.NotifyAfter({12}, gone);
   }
   history.RecordChanges(Batch(13, {{"a", "", false, 13}}), kStart);
   CHECK(calls == 2);
 }
 
+TEST_CASE("No changes lead from one era of the source to another") {
+  ChangeHistory history;
+  history.RecordSnapshot(Batch(10, {{"a", "a1", false, 10}}, 1), kStart);
+  const std::shared_ptr<std::function<void()>> notified =
+      std::make_shared<std::function<void()>>();
+  int notifications = 0;
+  *notified = [&notifications] { ++notifications; };
+  history.NotifyAfter({10, 1}, notified);
+  // Lost and written again under other revisions.
+  history.RecordSnapshot(Batch(7, {{"a", "a0", false, 3}}, 2), kStart);
+  CHECK(notifications == 1);
+  history.RecordChanges(Batch(12, {{"a", "a2", false, 12}}, 2), kStart);
+  for (const state::SourcePosition& other :
+       {state::SourcePosition{10, 1}, {10, 0}, {10, 3}}) {
+    const PassedChanges passed = history.After(other, kStart);
+    CHECK(passed.is_history_gone);
+    CHECK(passed.changes.empty());
+    CHECK(passed.position == state::SourcePosition{12, 2});
+  }
+  CHECK(KeysOf(history.After({7, 2}, kStart)) == std::vector<std::string>{"a"});
+}
+
 }  // namespace
 }  // namespace banyanknot::coordination
--- a/test/coordination/delegation/relay_dispatcher_test.cc
+++ b/test/coordination/delegation/relay_dispatcher_test.cc
@@ -39,7 +39,8 @@
                        AdvertsHandler handler) override {
     handler(std::nullopt);
   }
-  void FollowChanges(const state::Endpoint& /*host*/, std::uint64_t /*after*/,
+  void FollowChanges(const state::Endpoint& /*host*/,
+                     const state::SourcePosition& /*after*/,
                      state::Duration /*wait*/,
                      ChangesHandler handler) override {
     handler(std::nullopt);
--- a/test/coordination/delegation/shared_source_test.cc
+++ b/test/coordination/delegation/shared_source_test.cc
@@ -30,26 +30,31 @@
       handler(this->BatchAfter(0));
     });
   }
-  void Watch(std::uint64_t after, state::Duration wait,
+  void Watch(const state::SourcePosition& position, state::Duration wait,
              RoutingBatchHandler handler) override {
     ++this->watches;
-    if (!this->is_up || this->revision > after) {
-      this->Reply(Milliseconds(4), [this, after, handler = std::move(handler)] {
-        if (!this->is_up) {
-          handler(SourceFailure::kRefused);
-        } else if (after < this->oldest_revision) {
-          handler(SourceFailure::kHistoryGone);
-        } else {
-          handler(this->BatchAfter(after));
-        }
-      });
+    const std::uint64_t after = position.revision;
+    if (!this->is_up || this->revision != after) {
+      this->Reply(Milliseconds(4),
+                  [this, position, handler = std::move(handler)] {
+                    if (!this->is_up) {
+                      handler(SourceFailure::kRefused);
+                    } else if (position.revision < this->oldest_revision ||
+                               position.revision > this->revision) {
+                      handler(SourceFailure::kHistoryGone);
+                    } else {
+                      handler(RequireContinuation(
+                          position, this->BatchAfter(position.revision)));
+                    }
+                  });
       return;
     }
     const std::shared_ptr<bool> is_done = std::make_shared<bool>(false);
-    const auto end = [this, after, is_done, handler = std::move(handler)] {
+    const auto end = [this, position, is_done, handler = std::move(handler)] {
       if (std::exchange(*is_done, true)) return;
       if (this->is_up) {
-        handler(this->BatchAfter(after));
+        handler(
+            RequireContinuation(position, this->BatchAfter(position.revision)));
       } else {
         handler(SourceFailure::kSilent);
       }
@@ -59,13 +64,31 @@
   }
   void Write() {
     ++this->revision;
+    this->names[this->revision] = NameOf({this->revision, this->era});
     std::vector<std::function<void()>> ended;
     ended.swap(this->waiting);
     if (!this->is_up) return;
     for (const std::function<void()>& end : ended) end();
   }
 
+  /// Returns from a copy that was taken at a revision; open watches are cut.
+  void ReturnFromCopy(std::uint64_t copied) {
+    this->is_up = false;
+    for (const std::function<void()>& end : std::exchange(this->waiting, {})) {
+      end();
+    }
+    this->is_up = true;
+    this->revision = copied;
+    ++this->era;
+    for (std::uint64_t lost = copied + 1; this->names.erase(lost) > 0;) ++lost;
+  }
+  static std::string NameOf(const state::SourcePosition& position) {
+    return "domain" + std::to_string(position.revision) + "-" +
+           std::to_string(position.era);
+  }
+
   std::uint64_t revision = 1;
+  std::uint64_t era = 0;
   std::uint64_t oldest_revision = 0;  // changes after it are known
   bool is_up = true;
   int reads = 0;
@@ -77,9 +100,9 @@
   }
   RoutingBatch BatchAfter(std::uint64_t after) const {
     RoutingBatch batch;
-    batch.position.revision = this->revision;
-    for (std::uint64_t number = after + 1; number <= this->revision; ++number) {
-      const std::string name = "domain" + std::to_string(number);
+    batch.position = {this->revision, this->era};
+    for (const auto& [number, name] : this->names) {
+      if (number <= after) continue;
       batch.changes.push_back(
           DomainStateChange{state::FailureDomainId(name), true});
       batch.encoded.push_back({name, name, false, number});
@@ -88,6 +111,7 @@
   }
 
   fleet_testing::VirtualTime& time;
+  std::map<std::uint64_t, std::string> names{{1, NameOf({1, 0})}};
   std::vector<std::function<void()>> waiting;
 };
 
@@ -121,8 +145,9 @@
                          AdvertsHandler handler) override {
       handler(std::nullopt);
     }
-    void FollowChanges(const state::Endpoint& host, std::uint64_t after,
-                       state::Duration wait, ChangesHandler handler) override {
+    void FollowChanges(const state::Endpoint& host,
+                       const state::SourcePosition& after, state::Duration wait,
+                       ChangesHandler handler) override {
       Host& other = this->fleet.At(host.address);
       const state::TimePoint now = this->fleet.time.Now();
       if (!other.is_up) {
@@ -156,12 +181,11 @@
         handler(other.history.Snapshot(this->fleet.time.Now()));
       });
     }
-    bool Knows(std::uint64_t revision) const {
+    bool Knows(const state::SourcePosition& change) const {
       const std::vector<state::FailureDomainId> out =
           this->fixture.servers.DomainsOut();
       return std::count(out.begin(), out.end(),
-                        state::FailureDomainId("domain" +
-                                               std::to_string(revision))) > 0;
+                        state::FailureDomainId(FakeSource::NameOf(change))) > 0;
     }
 
     SharingFleet& fleet;
@@ -223,10 +247,15 @@
   void SetSourceUp(bool is_up) {
     for (const auto& [id, host] : this->hosts) host->source.is_up = is_up;
   }
-  int CountKnowing(std::uint64_t revision) {
+  void ReturnFromCopy(std::uint64_t copied) {
+    for (const auto& [id, host] : this->hosts) {
+      host->source.ReturnFromCopy(copied);
+    }
+  }
+  int CountKnowing(std::uint64_t revision, std::uint64_t era = 0) {
     int count = 0;
     for (const auto& [id, host] : this->hosts) {
-      if (host->is_up && host->Knows(revision)) ++count;
+      if (host->is_up && host->Knows({revision, era})) ++count;
     }
     return count;
   }
@@ -375,6 +404,64 @@
   CHECK(fleet.CountKnowing(revision) == kHosts);
 }
 
+// Guards against hosts that go on from a revision which the source has given
+// out again, and never hear of what took its place.
+TEST_CASE("Changes that reuse revisions reach all hosts") {
+  for (const int hosts : {4, kHosts}) {
+    SharingFleet fleet(hosts);
+    fleet.Start();
+    fleet.Advance(Milliseconds(8'000));
+    const std::uint64_t copied = fleet.Write();
+    fleet.Advance(Milliseconds(2'000));
+    fleet.Write();
+    const std::uint64_t lost = fleet.Write();
+    fleet.Advance(Milliseconds(2'000));
+    REQUIRE(fleet.CountKnowing(lost) == hosts);
+    fleet.ReturnFromCopy(copied);
+    const std::uint64_t rewritten = fleet.Write();
+    REQUIRE(rewritten < lost);
+    std::uint64_t newest = rewritten;
+    while (newest < lost + 2) newest = fleet.Write();
+    const int calls_before = fleet.Calls();
+    fleet.Advance(Milliseconds(3'000));
+    CHECK(fleet.CountKnowing(rewritten, 1) == hosts);
+    CHECK(fleet.CountKnowing(newest, 1) == hosts);
+    // Followers read anew through the watchers.
+    if (hosts == kHosts) CHECK(fleet.Calls() - calls_before <= kHosts / 2);
+  }
+}
+
+TEST_CASE("A second return of the source is followed like the first") {
+  SharingFleet fleet(kHosts);
+  fleet.Start();
+  fleet.Advance(Milliseconds(8'000));
+  const std::uint64_t copied = fleet.Write();
+  fleet.Write();
+  fleet.Advance(Milliseconds(2'000));
+  fleet.ReturnFromCopy(copied);
+  fleet.Write();
+  fleet.Write();
+  fleet.Advance(Milliseconds(300));
+  fleet.ReturnFromCopy(copied);
+  const std::uint64_t rewritten = fleet.Write();
+  fleet.Write();
+  fleet.Advance(Milliseconds(3'000));
+  CHECK(fleet.CountKnowing(rewritten, 2) == kHosts);
+}
+
+TEST_CASE("A watcher that is still in an older era is left for the source") {
+  SharingFleet fleet(kHosts);
+  fleet.Start();
+  fleet.Advance(Milliseconds(8'000));
+  const std::uint64_t copied = fleet.Write();
+  fleet.Advance(Milliseconds(2'000));
+  fleet.ReturnFromCopy(copied);
+  for (const char* id : {"h0", "h1"}) fleet.At(id).source.is_up = false;
+  const std::uint64_t rewritten = fleet.Write();
+  fleet.Advance(kOrderBound);
+  CHECK(fleet.CountKnowing(rewritten, 1) >= kHosts - 2);
+}
+
 TEST_CASE("A snapshot older than what a host knows is not used") {
   SharingFleet fleet(kHosts);
   fleet.Start();
@@ -382,7 +469,7 @@
   SharingFleet::Host& host = fleet.At("h9");
   const std::uint64_t newest = fleet.Write();
   fleet.Advance(Milliseconds(2'000));
-  REQUIRE(host.Knows(newest));
+  REQUIRE(host.Knows({newest, 0}));
   // Watchers that went back, as nothing here should.
   for (const char* id : {"h0", "h1"}) {
     RoutingBatch old;
--- a/test/coordination/routing/source_follower_test.cc
+++ b/test/coordination/routing/source_follower_test.cc
@@ -20,9 +20,9 @@
     this->Answer(this->read_answers, SourceFailure::kUnreachable,
                  Milliseconds(2), std::move(handler));
   }
-  void Watch(std::uint64_t after, state::Duration wait,
+  void Watch(const state::SourcePosition& after, state::Duration wait,
              RoutingBatchHandler handler) override {
-    this->watched_after.push_back(after);
+    this->watched_after.push_back(after.revision);
     this->waits.push_back(wait);
     this->Answer(this->watch_answers, RoutingBatch{{}, after}, wait,
                  std::move(handler));
@@ -100,6 +100,30 @@
   CHECK(values["banyanknot_relay_source_era_changes_total"] == 1);
 }
 
+// Guards against waiting for changes beyond a revision that the source has
+// given out again.
+TEST_CASE("A source that returned from a copy is read anew") {
+  FollowerFixture host;
+  host.source.read_answers = {RoutingBatch{{}, {10, 1}},
+                              RoutingBatch{{}, {7, 2}}};
+  host.source.watch_answers = {SourceFailure::kEraChanged};
+  host.follower.Start();
+  host.fixture.time.Advance(Milliseconds(1'000));
+  CHECK(host.source.reads == 2);
+  CHECK(host.source.watched_after == std::vector<std::uint64_t>{10, 7});
+}
+
+TEST_CASE("The first watch after a failure returns soon") {
+  FollowerFixture host;
+  host.source.read_answers = {RoutingBatch{{}, 10}};
+  host.source.watch_answers = {SourceFailure::kUnreachable};
+  host.follower.Start();
+  host.fixture.time.Advance(Milliseconds(1'000));
+  REQUIRE(host.source.waits.size() == 3);
+  CHECK(host.source.waits[1] <= Milliseconds(500));
+  CHECK(host.source.waits[2] == host.source.waits[0]);
+}
+
 TEST_CASE("An unresponsive source is detected within the contact timeout") {
   FollowerFixture host;
   host.source.read_answers = {RoutingBatch{{}, 10}};
--- a/test/platform/store_source_test.cc
+++ b/test/platform/store_source_test.cc
@@ -54,7 +54,7 @@
     });
     return WaitFor(promise);
   }
-  SourceResult Watch(std::uint64_t after) {
+  SourceResult Watch(const state::SourcePosition& after) {
     std::promise<SourceResult> promise;
     this->source.Watch(after, state::Milliseconds(1'000),
                        [&promise](SourceResult result) {
@@ -164,7 +164,7 @@
     return Respond(200, R"({"events":[{"Key":"servers/i-1","Revision":8,)"
                         R"("Deleted":true}],"AsOf":8})");
   });
-  const SourceResult result = store.Watch(7);
+  const SourceResult result = store.Watch({7});
   REQUIRE(state::IsOk(result));
   CHECK(state::ValueOf(result).position.revision == 8);
   REQUIRE(state::ValueOf(result).changes.size() == 1);
@@ -185,13 +185,43 @@
       if (text) response.headers.push_back({wire::kStoreEra, *text});
       return response;
     });
-    for (const SourceResult& result : {store.ReadAll(), store.Watch(7)}) {
+    for (const SourceResult& result :
+         {store.ReadAll(), store.Watch({7, era})}) {
       REQUIRE(state::IsOk(result));
       CHECK(state::ValueOf(result).position == state::SourcePosition{8, era});
     }
   }
 }
 
+TEST_CASE(
+    "Changes of another era of the store are not passed as the next ones") {
+  for (const char* era : {"1", "3", ""}) {
+    ScriptedStore store([era](const std::string& /*target*/) {
+      protocol::HttpResponse response =
+          Respond(200, R"({"events":[],"AsOf":8})");
+      response.headers.push_back({wire::kStoreEra, era});
+      return response;
+    });
+    const SourceResult result = store.Watch({7, 2});
+    REQUIRE_FALSE(state::IsOk(result));
+    CHECK(state::ErrorOf(result) == SourceFailure::kEraChanged);
+  }
+}
+
+TEST_CASE("Pages of two eras of the store make no snapshot") {
+  ScriptedStore store([](const std::string& target) {
+    const bool is_first = target.find("after=") == std::string::npos;
+    protocol::HttpResponse response =
+        Respond(200, std::string(R"({"items":[{"Key":"a"}],"HasMore":)") +
+                         (is_first ? "true" : "false") + R"(,"AsOf":7})");
+    response.headers.push_back({wire::kStoreEra, is_first ? "1" : "2"});
+    return response;
+  });
+  const SourceResult result = store.ReadAll();
+  REQUIRE_FALSE(state::IsOk(result));
+  CHECK(state::ErrorOf(result) == SourceFailure::kEraChanged);
+}
+
 TEST_CASE("Failures of the store are classified") {
   struct Row {
     unsigned status;
@@ -214,7 +244,7 @@
     ScriptedStore store([&row](const std::string& /*target*/) {
       return Respond(row.status, row.body);
     });
-    const SourceResult watched = store.Watch(1);
+    const SourceResult watched = store.Watch({1});
     REQUIRE_FALSE(state::IsOk(watched));
     CHECK(NameOf(state::ErrorOf(watched)) == NameOf(row.expected));
     CHECK_FALSE(state::IsOk(store.ReadAll()));
--- a/test/protocol/fleet_codec_test.cc
+++ b/test/protocol/fleet_codec_test.cc
@@ -4,6 +4,7 @@
 
 #include <catch2/catch.hpp>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <string>
 
 #include "banyanknot/protocol/hop_headers.h"
@@ -171,6 +172,39 @@
   }
 }
 
+TEST_CASE("Passed changes and requests for them name the source's position") {
+  coordination::PassedChanges passed;
+  passed.position = {12, 3};
+  passed.changes = {{"a", "text", false, 11}};
+  const state::Result<coordination::PassedChanges, ProtocolError> read =
+      DecodePassedChanges(EncodePassedChanges(passed));
+  REQUIRE(state::IsOk(read));
+  CHECK(state::ValueOf(read).position == passed.position);
+  CHECK(state::ValueOf(read).changes.front().revision == 11);
+  for (const state::SourcePosition& after :
+       {state::SourcePosition{7, 0}, {7, 3}}) {
+    const std::optional<ChangesQuery> query = DecodeChangesTarget(
+        EncodeChangesTarget({false, after, state::Milliseconds(900)}));
+    REQUIRE(query);
+    CHECK(query->after == after);
+    CHECK(query->wait == state::Milliseconds(900));
+  }
+}
+
+TEST_CASE("Passed changes of hosts that know no eras are read") {
+  const state::Result<coordination::PassedChanges, ProtocolError> read =
+      DecodePassedChanges(R"({"revision":12,"age_ms":5,"changes":[]})");
+  REQUIRE(state::IsOk(read));
+  CHECK(state::ValueOf(read).position == state::SourcePosition{12, 0});
+  CHECK(EncodeChangesTarget({false, {7, 0}, state::Milliseconds(900)}) ==
+        std::string(kChangesPath) + "?after=7&wait_ms=900");
+  const std::string target = std::string(kChangesPath) + "?after=7&wait_ms=9";
+  for (const char* tail :
+       {"&era=", "&era=x", "&era=-1", "&era=1&era=2", "&era=1&more=2"}) {
+    CHECK_FALSE(DecodeChangesTarget(target + tail));
+  }
+}
+
 TEST_CASE("Decoding arbitrary adverts never ends the process") {
   rc::check([](const std::string& bytes) { DecodeAdverts(bytes); });
 }
