--- a/include/banyanknot/coordination/routing/source_failure.h
+++ b/include/banyanknot/coordination/routing/source_failure.h
@@ -40,7 +40,8 @@
 /// position that it was asked for: only a snapshot gets the newest state.
 constexpr bool NeedsSnapshot(SourceFailure failure) {
   return failure == SourceFailure::kHistoryGone ||
-         failure == SourceFailure::kEraChanged;
+         failure == SourceFailure::kEraChanged ||
+         failure == SourceFailure::kTooLarge;
 }
 
 }  // namespace banyanknot::coordination
--- a/test/coordination/routing/source_follower_test.cc
+++ b/test/coordination/routing/source_follower_test.cc
@@ -113,6 +113,18 @@
   CHECK(host.source.watched_after == std::vector<std::uint64_t>{10, 7});
 }
 
+// Guards against asking again and again for more changes than one response may
+// hold.
+TEST_CASE("Changes too large for one response lead to a snapshot read") {
+  FollowerFixture host;
+  host.source.read_answers = {RoutingBatch{{}, 10}, RoutingBatch{{}, 70}};
+  host.source.watch_answers = {SourceFailure::kTooLarge};
+  host.follower.Start();
+  host.fixture.time.Advance(Milliseconds(1'000));
+  CHECK(host.source.reads == 2);
+  CHECK(host.source.watched_after == std::vector<std::uint64_t>{10, 70});
+}
+
 TEST_CASE("The first watch after a failure returns soon") {
   FollowerFixture host;
   host.source.read_answers = {RoutingBatch{{}, 10}};
--- a/test/platform/store_source_test.cc
+++ b/test/platform/store_source_test.cc
@@ -222,6 +222,17 @@
   CHECK(state::ErrorOf(result) == SourceFailure::kEraChanged);
 }
 
+TEST_CASE(
+    "A response of the store beyond the size limit is told from an outage") {
+  ScriptedStore store([](const std::string& /*target*/) {
+    return Respond(200,
+                   std::string(5u << 20, ' ') + R"({"events":[],"AsOf":8})");
+  });
+  const SourceResult result = store.Watch({7});
+  REQUIRE_FALSE(state::IsOk(result));
+  CHECK(state::ErrorOf(result) == SourceFailure::kTooLarge);
+}
+
 TEST_CASE("Failures of the store are classified") {
   struct Row {
     unsigned status;
