Count the pause after a change towards the detection of a silent source

Callers saw: old routes for some 0.1 s longer than a host may be excused after its connection to the source fell silent right after a change.

Cause: after a change, the next watch begins 600 ms later, so that it returns several; it then waited as long as any other. A connection that fell silent in that pause was given up 4,100 ms after its last word, where source_contact_ms (4,000) is meant to bound it.

Why this works: the pause is taken off that watch's wait.

--- a/include/banyanknot/coordination/routing/source_follower.h
+++ b/include/banyanknot/coordination/routing/source_follower.h
@@ -43,7 +43,8 @@
  private:
   void ReadAll();
   void OnReadAll(const state::Result<RoutingBatch, SourceFailure>& result);
-  void Watch();
+  /// \param unheard time since the source was last asked, without a call open
+  void Watch(state::Duration unheard = state::Duration(0));
   void OnWatched(const state::Result<RoutingBatch, SourceFailure>& result);
   void OnFailure(SourceFailure failure);
   void OnSuccess(const RoutingBatch& batch);
--- a/src/coordination/routing/source_follower.cc
+++ b/src/coordination/routing/source_follower.cc
@@ -62,9 +62,12 @@
   this->Watch();
 }
 
-void SourceFollower::Watch() {
+void SourceFollower::Watch(state::Duration unheard) {
+  const state::Duration wait =
+      this->is_lost ? kReturnWatchWait
+                    : std::max(this->watch_wait - unheard, kMinWatchWait);
   this->source.Watch(
-      this->position, this->is_lost ? kReturnWatchWait : this->watch_wait,
+      this->position, wait,
       [this](const state::Result<RoutingBatch, SourceFailure>& result) {
         this->OnWatched(result);
       });
@@ -86,7 +89,7 @@
     this->Watch();
   } else {
     this->timers.RunAt(this->clock.Now() + kBatchingDelay,
-                       [this] { this->Watch(); });
+                       [this] { this->Watch(kBatchingDelay); });
   }
 }
 
--- a/test/coordination/routing/source_follower_test.cc
+++ b/test/coordination/routing/source_follower_test.cc
@@ -24,6 +24,7 @@
              RoutingBatchHandler handler) override {
     this->watched_after.push_back(after.revision);
     this->waits.push_back(wait);
+    this->watched_at.push_back(this->time.Now());
     this->Answer(this->watch_answers, RoutingBatch{{}, after}, wait,
                  std::move(handler));
   }
@@ -34,6 +35,7 @@
   int reads = 0;
   std::vector<std::uint64_t> watched_after;
   std::vector<state::Duration> waits;
+  std::vector<state::TimePoint> watched_at;
 
  private:
   void Answer(std::deque<Result>& answers, Result fallback,
@@ -145,6 +147,22 @@
   CHECK(host.source.waits[0] <= Milliseconds(4'000 - 1'000));
 }
 
+// Guards against a connection that falls silent between two watches being
+// noticed later than one that falls silent during a watch.
+TEST_CASE("A watch that follows changes ends as soon as any other") {
+  FollowerFixture host;
+  host.source.read_answers = {RoutingBatch{{}, 10}};
+  host.source.watch_answers = {
+      RoutingBatch{{host.fixture.Server("s1", "desk")}, 11}};
+  host.follower.Start();
+  host.fixture.time.Advance(Milliseconds(100));
+  const state::TimePoint changed_at = host.fixture.time.Now();
+  host.fixture.time.Advance(Milliseconds(1'000));
+  REQUIRE(host.source.waits.size() == 2);
+  const state::Duration delay = host.source.watched_at[1] - changed_at;
+  CHECK(delay + host.source.waits[1] <= host.source.waits[0]);
+}
+
 TEST_CASE(
     "Known routes and servers stay in force during an outage of the source") {
   FollowerFixture host;
