Leave a watcher when its view becomes stale, not at the next word from it

Callers saw: in a failure domain of five hosts or more, hosts that follow a watcher which had lost the source kept old routes for up to 3.6 s.

Cause: a follower asked its watcher for changes for 1 s at a time and judged the age of its view by the answer, so a view that was fresh enough at one answer was used until the next.

Why this works: a wait at the watcher ends no later than its view, as last heard of, becomes stale; then the source is asked.

--- a/include/banyanknot/coordination/delegation/shared_source.h
+++ b/include/banyanknot/coordination/delegation/shared_source.h
@@ -66,6 +66,10 @@
   /// \returns true if it is in another era than before
   bool RecordSnapshotPosition(const state::SourcePosition& position);
   bool IsUsableSnapshot(const PassedChanges& passed, bool accepts_stale) const;
+  /// \brief Returns how long a watcher may keep this host waiting, so that
+  /// its view is not older than kMaxAge meanwhile.
+  state::Duration FollowerWait(state::TimePoint now) const;
+  void RecordWatcherAge(state::Duration age, state::TimePoint now);
   void OnSourceResult(const state::Result<RoutingBatch, SourceFailure>& result,
                       state::TimePoint now);
   bool HasSourceJustFailed(state::TimePoint now) const;
@@ -83,6 +87,8 @@
   mutable std::mutex mutex;
   std::map<state::HostId, state::TimePoint> left_out_until;
   std::optional<state::TimePoint> source_failed_at;
+  /// When the watcher that replied last had heard from the source.
+  state::TimePoint watcher_heard_at = state::TimePoint::min();
   std::optional<state::SourcePosition> newest_position;  // of those heard of
 };
 
--- a/src/coordination/delegation/shared_source.cc
+++ b/src/coordination/delegation/shared_source.cc
@@ -12,6 +12,9 @@
 /// After the source failed, watchers are asked in its place for this long, even
 /// those without news of it, so that not every host calls it again and again.
 constexpr state::Duration kSourcePause = state::Milliseconds(1'200);
+/// Shortest wait at a watcher, so that followers of one with an old view don't
+/// call it without pause.
+constexpr state::Duration kMinFollowerWait = state::Milliseconds(100);
 
 /// Tells whether the source failed to answer.
 bool HasFailed(const state::Result<RoutingBatch, SourceFailure>& result) {
@@ -203,10 +206,11 @@
   }
   ++this->watcher_calls;
   this->link.FollowChanges(
-      choice->watcher.endpoint, after, kFollowerWait,
+      choice->watcher.endpoint, after, this->FollowerWait(this->clock.Now()),
       [this, after, wait, choice = *choice, handler = std::move(handler)](
           const std::optional<PassedChanges>& passed) mutable {
         const state::TimePoint now = this->clock.Now();
+        if (passed) this->RecordWatcherAge(passed->age, now);
         const bool is_usable = passed && !passed->is_history_gone &&
                                (passed->age <= kMaxAge || choice.accepts_stale);
         if (is_usable) {
@@ -229,6 +233,18 @@
       });
 }
 
+state::Duration SharedSource::FollowerWait(state::TimePoint now) const {
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  if (this->watcher_heard_at == state::TimePoint::min()) return kFollowerWait;
+  const state::Duration left = this->watcher_heard_at + kMaxAge - now;
+  return std::clamp(left, kMinFollowerWait, kFollowerWait);
+}
+
+void SharedSource::RecordWatcherAge(state::Duration age, state::TimePoint now) {
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  this->watcher_heard_at = now - age;
+}
+
 void SharedSource::CollectMetrics(std::vector<MetricSample>& samples) const {
   const auto add = [&samples](const char* name, const char* help,
                               double value) {
--- a/test/coordination/delegation/shared_source_test.cc
+++ b/test/coordination/delegation/shared_source_test.cc
@@ -341,6 +341,21 @@
   }
 }
 
+// Guards against a follower that hears of a stale watcher only at the end of a
+// wait that began while it was not.
+TEST_CASE("Followers leave a watcher as soon as its view is stale") {
+  SharingFleet fleet(kHosts);
+  fleet.Start();
+  fleet.Advance(Milliseconds(8'000));
+  const std::uint64_t known = fleet.Write();
+  fleet.Advance(Milliseconds(200));
+  REQUIRE(fleet.CountKnowing(known) == kHosts);
+  for (const char* id : {"h0", "h1"}) fleet.At(id).source.is_up = false;
+  const std::uint64_t revision = fleet.Write();
+  fleet.Advance(SharedSource::kMaxAge + Milliseconds(300));
+  CHECK(fleet.CountKnowing(revision) >= kHosts - 2);
+}
+
 // Guards against a host that reaches the source following a watcher that
 // doesn't: the source's answer that its history is gone counted as an outage.
 TEST_CASE("A dropped history leads to a read of the source, not an old view") {
