Keep domains out of service when the source has lost that they are

Servers of a failure domain that operators had taken out got requests after a return of the store from a copy, until the order was written again.

--- a/include/banyanknot/coordination/routing/routing_intake.h
+++ b/include/banyanknot/coordination/routing/routing_intake.h
@@ -2,6 +2,8 @@
 #define BANYANKNOT_COORDINATION_ROUTING_ROUTING_INTAKE_H_
 
 #include <functional>
+#include <map>
+#include <mutex>
 #include <set>
 #include <vector>
 
@@ -14,11 +16,13 @@
 
 namespace banyanknot::coordination {
 
-/// \brief How the removal of a server's entry takes effect.
+/// \brief How the removal of entries takes effect.
 enum class RemovalMode {
   kImmediate,  ///< the server is removed at once
   kDeferred,   ///< after a grace period: its entry may have expired during
                ///< an outage of the source and be written again
+  kAfterLoss,  ///< as kDeferred, also for domains taken out of service: the
+               ///< source has lost its last changes, which are written again
 };
 
 /// \brief Applies published changes to the route and server directories.
@@ -46,6 +50,10 @@
   void ApplyRoutes(const state::RouteTablePtr& table,
                    const RoutingBatch& batch);
   void ApplyDomain(const DomainStateChange& domain_change);
+  /// \brief Returns a domain to service unless it is taken out again.
+  void ReturnDomainLater(const state::FailureDomainId& domain);
+  /// \brief Cancels a deferred return.
+  void KeepDomain(const state::FailureDomainId& domain);
   void ApplyServer(const state::RegisteredServer& server);
   /// \brief Starts the health checks that a change has made possible.
   void CheckSuspects();
@@ -62,8 +70,9 @@
   ServerHealthChecker& checker;
   EventLog& log;
   RoutesListener listener;
-  std::mutex removals_mutex;
+  std::mutex deferred_mutex;
   std::set<state::InstanceId> deferred_removals;  // unless they return
+  std::map<state::FailureDomainId, state::TimePoint> deferred_returns;
 };
 
 }  // namespace banyanknot::coordination
--- a/include/banyanknot/coordination/routing/source_follower.h
+++ b/include/banyanknot/coordination/routing/source_follower.h
@@ -50,7 +50,7 @@
   void OnSuccess(const RoutingBatch& batch);
   RemovalMode RemovalModeOf(const RoutingBatch& batch) const;
   /// \brief Logs and counts a change of the source's era.
-  void RecordEra(const state::SourcePosition& next);
+  void RecordEraChange(const state::SourcePosition& next);
   void SetPosition(const state::SourcePosition& next);
 
   const Clock& clock;
--- a/src/coordination/routing/routing_intake.cc
+++ b/src/coordination/routing/routing_intake.cc
@@ -10,6 +10,8 @@
 /// Servers whose entries expired during an outage of the source register again
 /// within two seconds of its return; the rest is for propagation.
 constexpr state::Duration kRemovalGrace = state::Milliseconds(2'300);
+/// Operators write anew what the source has lost, but may take some seconds.
+constexpr state::Duration kDomainReturnGrace = state::Milliseconds(10'000);
 
 }  // namespace
 
@@ -51,7 +53,12 @@
     }
   }
   for (const state::FailureDomainId& domain : this->servers.DomainsOut()) {
-    if (out.count(domain) == 0) this->ApplyDomain({domain, false});
+    if (out.count(domain) > 0) continue;
+    if (mode == RemovalMode::kAfterLoss) {
+      this->ReturnDomainLater(domain);
+    } else {
+      this->ApplyDomain({domain, false});
+    }
   }
   this->Apply(batch, mode);
   for (const state::InstanceId& id : this->servers.Ids()) {
@@ -96,7 +103,30 @@
                    {"from", batch.is_passed_on ? "host" : "source"}});
 }
 
+void RoutingIntake::ReturnDomainLater(const state::FailureDomainId& domain) {
+  const state::TimePoint due = this->clock.Now() + kDomainReturnGrace;
+  {
+    const std::lock_guard<std::mutex> lock(this->deferred_mutex);
+    this->deferred_returns[domain] = due;
+  }
+  this->timers.RunAt(due, [this, domain, due] {
+    bool is_due = false;
+    {
+      const std::lock_guard<std::mutex> lock(this->deferred_mutex);
+      const auto found = this->deferred_returns.find(domain);
+      is_due = found != this->deferred_returns.end() && found->second == due;
+    }
+    if (is_due) this->ApplyDomain({domain, false});
+  });
+}
+
+void RoutingIntake::KeepDomain(const state::FailureDomainId& domain) {
+  const std::lock_guard<std::mutex> lock(this->deferred_mutex);
+  this->deferred_returns.erase(domain);
+}
+
 void RoutingIntake::ApplyDomain(const DomainStateChange& domain_change) {
+  this->KeepDomain(domain_change.domain);
   const std::size_t affected =
       this->servers.SetDomainOut(domain_change.domain, domain_change.is_out);
   if (!domain_change.is_out) this->CheckSuspects();
@@ -113,7 +143,7 @@
 }
 
 void RoutingIntake::KeepServer(const state::InstanceId& id) {
-  const std::lock_guard<std::mutex> lock(this->removals_mutex);
+  const std::lock_guard<std::mutex> lock(this->deferred_mutex);
   this->deferred_removals.erase(id);
 }
 
@@ -141,13 +171,13 @@
     return;
   }
   {
-    const std::lock_guard<std::mutex> lock(this->removals_mutex);
+    const std::lock_guard<std::mutex> lock(this->deferred_mutex);
     this->deferred_removals.insert(id);
   }
   this->timers.RunAt(this->clock.Now() + kRemovalGrace, [this, id] {
     bool is_still_gone = false;
     {
-      const std::lock_guard<std::mutex> lock(this->removals_mutex);
+      const std::lock_guard<std::mutex> lock(this->deferred_mutex);
       is_still_gone = this->deferred_removals.erase(id) > 0;
     }
     if (is_still_gone) this->RemoveNow(id);
--- a/src/coordination/routing/source_follower.cc
+++ b/src/coordination/routing/source_follower.cc
@@ -55,8 +55,11 @@
   }
   const RoutingBatch& batch = state::ValueOf(result);
   if (!batch.is_stale) this->OnSuccess(batch);
-  this->RecordEra(batch.position);
-  this->intake.ApplyAll(batch, this->RemovalModeOf(batch));
+  const bool has_lost_changes =
+      this->has_position && batch.position.era != this->position.era;
+  if (has_lost_changes) this->RecordEraChange(batch.position);
+  this->intake.ApplyAll(batch, has_lost_changes ? RemovalMode::kAfterLoss
+                                                : this->RemovalModeOf(batch));
   this->SetPosition(batch.position);
   this->has_read = true;
   this->Watch();
@@ -133,8 +136,7 @@
                    {"era", std::to_string(batch.position.era)}});
 }
 
-void SourceFollower::RecordEra(const state::SourcePosition& next) {
-  if (!this->has_position || next.era == this->position.era) return;
+void SourceFollower::RecordEraChange(const state::SourcePosition& next) {
   ++this->era_changes;
   this->log.Write(EventCode::kSourceEraChanged,
                   {{"from_era", std::to_string(this->position.era)},
--- a/test/coordination/routing/routing_intake_test.cc
+++ b/test/coordination/routing/routing_intake_test.cc
@@ -60,6 +60,53 @@
   CHECK(intake.fixture.Run("/relay/1").answer.outcome == RelayOutcome::kNotRun);
 }
 
+// Guards against a domain being used again because the source lost that it was
+// taken out.
+TEST_CASE("A domain stays out until the source has what it lost") {
+  IntakeFixture intake;
+  RoutingBatch snapshot;
+  snapshot.changes = {intake.fixture.Server("s1", "desk", "a"),
+                      intake.fixture.Server("s2", "desk", "b")};
+  const DomainStateChange out{state::FailureDomainId("a"), true};
+  const DomainStateChange back{state::FailureDomainId("a"), false};
+  intake.fixture.Publish(out);
+  intake.fixture.intake.ApplyAll(snapshot, RemovalMode::kAfterLoss);
+  CHECK(intake.RequestsAt("s1", 1) == 0);
+  SECTION("Written again") {
+    intake.fixture.Publish(out);
+    intake.fixture.time.Advance(Milliseconds(60'000));
+    CHECK(intake.RequestsAt("s1") == 0);
+  }
+  SECTION("Taken back meanwhile") {
+    intake.fixture.Publish(out);
+    intake.fixture.Publish(back);
+    CHECK(intake.fixture.servers.DomainsOut().empty());
+  }
+  SECTION("Never written again") {
+    intake.fixture.time.Advance(Milliseconds(10'000));
+    CHECK(intake.RequestsAt("s1") > 0);
+  }
+  SECTION("Lost once more") {
+    intake.fixture.intake.ApplyAll(snapshot, RemovalMode::kAfterLoss);
+    intake.fixture.time.Advance(Milliseconds(8'000));
+    CHECK(intake.fixture.servers.DomainsOut().size() == 1);
+  }
+}
+
+TEST_CASE("A domain missing in a snapshot is back in service at once") {
+  IntakeFixture intake;
+  RoutingBatch snapshot;
+  snapshot.changes = {intake.fixture.Server("s1", "desk", "a"),
+                      intake.fixture.Server("s2", "desk", "b")};
+  for (const RemovalMode mode :
+       {RemovalMode::kImmediate, RemovalMode::kDeferred}) {
+    intake.fixture.Publish(
+        DomainStateChange{state::FailureDomainId("a"), true});
+    intake.fixture.intake.ApplyAll(snapshot, mode);
+    CHECK(intake.fixture.servers.DomainsOut().empty());
+  }
+}
+
 TEST_CASE("An unreadable entry of a server leaves what was believed of it") {
   IntakeFixture intake;
   const UnreadableEntry odd{"servers/s1", "Slots is invalid",
