Learn the source's era soon after watchers or a failure

Callers saw: after a return of the store from a copy, a host that had followed a watcher and turned to the store went on with the older routes for some 4 s.

Cause: only a response tells the era, and the first watch at the store waited as long as any other, up to 2.5 s; the host had seen no failure, since it had asked a watcher while the store was away. The short first wait was there only after a failure that the host itself had seen.

Why this works: the wait is decided where the call is: in SharedSource, which knows whether the last call went to the source and succeeded. If not, the source may keep the host waiting for 200 ms only.

--- a/include/banyanknot/coordination/delegation/shared_source.h
+++ b/include/banyanknot/coordination/delegation/shared_source.h
@@ -66,6 +66,8 @@
   /// \returns true if it is in another era than before
   bool RecordSnapshotPosition(const state::SourcePosition& position);
   bool IsUsableSnapshot(const PassedChanges& passed, bool accepts_stale) const;
+  /// \brief Returns how long the source may keep this host waiting.
+  state::Duration SourceWait(state::Duration wait) const;
   /// \brief Returns how long a watcher may keep this host waiting, so that
   /// its view is not older than kMaxAge meanwhile.
   state::Duration FollowerWait(state::TimePoint now) const;
@@ -87,6 +89,7 @@
   mutable std::mutex mutex;
   std::map<state::HostId, state::TimePoint> left_out_until;
   std::optional<state::TimePoint> source_failed_at;
+  bool follows_source = false;  // the last call was to it, and succeeded
   /// When the watcher that replied last had heard from the source.
   state::TimePoint watcher_heard_at = state::TimePoint::min();
   std::optional<state::SourcePosition> newest_position;  // of those heard of
--- a/src/coordination/delegation/shared_source.cc
+++ b/src/coordination/delegation/shared_source.cc
@@ -12,6 +12,10 @@
 /// After the source failed, watchers are asked in its place for this long, even
 /// those without news of it, so that not every host calls it again and again.
 constexpr state::Duration kSourcePause = state::Milliseconds(1'200);
+/// Longest wait at the source when the last call to it failed, or when a
+/// watcher was asked since: the source may be in another era, which only a
+/// response tells.
+constexpr state::Duration kFirstSourceWait = state::Milliseconds(200);
 /// Shortest wait at a watcher, so that followers of one with an old view don't
 /// call it without pause.
 constexpr state::Duration kMinFollowerWait = state::Milliseconds(100);
@@ -86,6 +90,7 @@
   bool has_returned = false;
   {
     const std::lock_guard<std::mutex> lock(this->mutex);
+    this->follows_source = state::IsOk(result);
     if (HasFailed(result)) {
       this->source_failed_at = now;
     } else {
@@ -179,11 +184,7 @@
                                state::Duration wait,
                                RoutingBatchHandler handler) {
   ++this->source_calls;
-  const state::Duration own_wait =
-      this->roster.MayHaveFollowers(this->clock.Now())
-          ? std::min(wait, kWatcherWait)
-          : wait;
-  this->source.Watch(after, own_wait,
+  this->source.Watch(after, this->SourceWait(wait),
                      [this, handler = std::move(handler)](
                          state::Result<RoutingBatch, SourceFailure> result) {
                        const state::TimePoint now = this->clock.Now();
@@ -197,6 +198,14 @@
                      });
 }
 
+state::Duration SharedSource::SourceWait(state::Duration wait) const {
+  const bool has_followers = this->roster.MayHaveFollowers(this->clock.Now());
+  const state::Duration longest =
+      has_followers ? std::min(wait, kWatcherWait) : wait;
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  return this->follows_source ? longest : std::min(longest, kFirstSourceWait);
+}
+
 void SharedSource::Watch(const state::SourcePosition& after,
                          state::Duration wait, RoutingBatchHandler handler) {
   const std::optional<Choice> choice = this->ChooseWatcher(this->clock.Now());
@@ -205,6 +214,10 @@
     return;
   }
   ++this->watcher_calls;
+  {
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    this->follows_source = false;
+  }
   this->link.FollowChanges(
       choice->watcher.endpoint, after, this->FollowerWait(this->clock.Now()),
       [this, after, wait, choice = *choice, handler = std::move(handler)](
--- a/src/coordination/routing/source_follower.cc
+++ b/src/coordination/routing/source_follower.cc
@@ -12,9 +12,6 @@
 /// a watch and for a new connection.
 constexpr state::Duration kContactMargin = state::Milliseconds(1'500);
 constexpr state::Duration kMinWatchWait = state::Milliseconds(1'000);
-/// After a failure, the source may be in another era, which only its response
-/// tells.
-constexpr state::Duration kReturnWatchWait = state::Milliseconds(200);
 /// Delay after a watch that returned changes, so that the next returns several:
 /// servers that start together register one by one, and each call is charged.
 constexpr state::Duration kBatchingDelay = state::Milliseconds(600);
@@ -66,11 +63,8 @@
 }
 
 void SourceFollower::Watch(state::Duration unheard) {
-  const state::Duration wait =
-      this->is_lost ? kReturnWatchWait
-                    : std::max(this->watch_wait - unheard, kMinWatchWait);
   this->source.Watch(
-      this->position, wait,
+      this->position, std::max(this->watch_wait - unheard, kMinWatchWait),
       [this](const state::Result<RoutingBatch, SourceFailure>& result) {
         this->OnWatched(result);
       });
--- a/test/coordination/delegation/shared_source_test.cc
+++ b/test/coordination/delegation/shared_source_test.cc
@@ -33,6 +33,7 @@
   void Watch(const state::SourcePosition& position, state::Duration wait,
              RoutingBatchHandler handler) override {
     ++this->watches;
+    this->waits.push_back(wait);
     const std::uint64_t after = position.revision;
     if (!this->is_up || this->revision != after) {
       this->Reply(Milliseconds(4),
@@ -93,6 +94,7 @@
   bool is_up = true;
   int reads = 0;
   int watches = 0;
+  std::vector<state::Duration> waits;
 
  private:
   void Reply(state::Duration after, std::function<void()> reply) {
@@ -446,6 +448,35 @@
   }
 }
 
+// Guards against a long first watch at a source that has returned unnoticed
+// while a watcher, or nobody, was asked.
+TEST_CASE("The first watch at the source after other calls returns soon") {
+  SharingFleet fleet(4);
+  SharingFleet::Host& host = fleet.At("h0");
+  fleet.Start();
+  fleet.Advance(Milliseconds(10'000));
+  REQUIRE(host.source.waits.size() >= 2);
+  CHECK(host.source.waits.back() > Milliseconds(1'000));
+  host.source.is_up = false;
+  fleet.Advance(Milliseconds(6'000));
+  const std::size_t failed = host.source.waits.size();
+  CHECK(host.source.waits.back() <= Milliseconds(200));
+  host.source.is_up = true;
+  fleet.Advance(Milliseconds(6'000));
+  REQUIRE(host.source.waits.size() > failed + 1);
+  CHECK(host.source.waits.back() > Milliseconds(1'000));
+
+  SharingFleet large(kHosts);
+  SharingFleet::Host& follower = large.At("h9");
+  large.Start();
+  large.Advance(Milliseconds(10'000));
+  const std::size_t before = follower.source.waits.size();
+  for (const char* id : {"h0", "h1"}) large.At(id).is_up = false;
+  large.Advance(Milliseconds(6'000));
+  REQUIRE(follower.source.waits.size() > before);
+  CHECK(follower.source.waits[before] <= Milliseconds(200));
+}
+
 TEST_CASE("A second return of the source is followed like the first") {
   SharingFleet fleet(kHosts);
   fleet.Start();
--- a/test/coordination/routing/source_follower_test.cc
+++ b/test/coordination/routing/source_follower_test.cc
@@ -127,17 +127,6 @@
   CHECK(host.source.watched_after == std::vector<std::uint64_t>{10, 70});
 }
 
-TEST_CASE("The first watch after a failure returns soon") {
-  FollowerFixture host;
-  host.source.read_answers = {RoutingBatch{{}, 10}};
-  host.source.watch_answers = {SourceFailure::kUnreachable};
-  host.follower.Start();
-  host.fixture.time.Advance(Milliseconds(1'000));
-  REQUIRE(host.source.waits.size() == 3);
-  CHECK(host.source.waits[1] <= Milliseconds(500));
-  CHECK(host.source.waits[2] == host.source.waits[0]);
-}
-
 TEST_CASE("An unresponsive source is detected within the contact timeout") {
   FollowerFixture host;
   host.source.read_answers = {RoutingBatch{{}, 10}};
