--- a/review/rig-2/rig.py
+++ b/review/rig-2/rig.py
@@ -281,7 +281,7 @@
     async def prepare(self, store):
         self.store_port = await store.listen()
 
-    def write_settings(self, seeds):
+    def write_settings(self, seeds, memory_mb=260):
         address = "127.0.0.1"
         self.settings.write_text(json.dumps({
             "id": self.ident, "domain": self.zone,
@@ -291,7 +291,7 @@
             "source": f"{address}:{self.store_port}",
             "peer_listen": f"{address}:{self.control}",
             "seeds": seeds, "core_share": self.cores,
-            "source_contact_ms": 5000, "threads": 1, "memory_mb": 260,
+            "source_contact_ms": 5000, "threads": 1, "memory_mb": memory_mb,
             "max_descriptors": 4100, "stop_grace_s": 6,
             "server_choice": "least_cost", "extra_request_share": 0.17}))
 
