--- a/review/6/case.py
+++ b/review/6/case.py
@@ -6,35 +6,27 @@
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "rig-2"))
-from rig import TROUBLE, CannotRun, Server, Store, play  # noqa: E402
+from rig import (TROUBLE, CannotRun, Server, Store, WIRE, config,  # noqa: E402
+                 play, route, service)
 
 CONTACT_S = 5.0
 CONFIG_APPLY_S = 5.0
 REFUSAL_S = 3.0
-HOST = "plans.example"
 OLD, NEW = "counter-desk", "water-office"
 
 
-def config(version, service):
-    spec = {"HealthPath": "/health", "MaxConns": 110, "Protocol": "h1",
-            "Tls": False, "WarmupS": 3.0, "WarmupPerS": 0.0}
-    return {"Version": version,
-            "Routes": [{"Name": "parcel", "Host": HOST, "Prefix": "/parcel/",
-                        "RouteType": "idempotent", "TimeoutMs": 4000,
-                        "ObjectiveMs": 600, "Priority": 2, "Service": service,
-                        "MaxAttempts": 2}],
-            "Services": [dict(spec, Name=OLD), dict(spec, Name=NEW)],
-            "Limits": {"MaxHeaderBytes": 16384, "MaxBodyBytes": 262144,
-                       "HeaderTimeoutMs": 3000, "IdleTimeoutMs": 15000}}
+def version(number, service_name):
+    return config(number, [route("parcel", service_name)],
+                  [service(OLD), service(NEW)])
 
 
 async def case(rig):
     store = Store(rig.record)
-    servers = [Server(rig.record, f"i-{service[:2]}{number}", service)
-               for service in (OLD, NEW) for number in (1, 2)]
+    servers = [Server(rig.record, f"i-{name[:2]}{number}", name)
+               for name in (OLD, NEW) for number in (1, 2)]
     for server in servers:
         await server.start(store)
-    await store.put("op/config", config(7, OLD))
+    await store.put(WIRE["kRoutesKey"], version(7, OLD))
     edges = [rig.edge(f"front-{number}") for number in range(1, 8)]
     for edge in edges:
         await edge.prepare(store)
@@ -47,7 +39,7 @@
     await asyncio.sleep(8)
 
     rig.record.note("operator: version 9 moves the route to " + NEW)
-    await store.put("op/config", config(9, NEW))
+    await store.put(WIRE["kRoutesKey"], version(9, NEW))
     await asyncio.sleep(CONFIG_APPLY_S + 1)
     for edge in edges:
         _, answer = await rig.ask(edge, "/parcel/1")
--- a/review/rig-2/rig.py
+++ b/review/rig-2/rig.py
@@ -8,6 +8,8 @@
 import base64
 import json
 import os
+import random
+import re
 import shutil
 import signal
 import socket
@@ -19,11 +21,45 @@
 from urllib.parse import parse_qs, urlsplit
 
 ROOT = Path(__file__).resolve().parents[2]
+# The names on the wire, by the constants that the adapter has for them.
+WIRE = dict(re.findall(
+    r'constexpr const char\* (k\w+) = "([^"]*)"',
+    (ROOT / "platform/wire_names.h").read_text(encoding="utf-8")))
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 REASONS = {200: "OK", 404: "Not Found", 410: "Gone", 421: "Misdirected Request",
            500: "Internal Server Error", 503: "Service Unavailable"}
 
 
+HOST = "plans.example"
+
+
+def service(name, connections=440):
+    """A service, as the operator's configuration has it."""
+    return dict(Name=name, HealthPath="/health", MaxConns=connections,
+                Protocol="h1", Tls=False, WarmupS=3.0, WarmupPerS=0.0)
+
+
+def route(name, to, **more):
+    """A route to one service, for all paths below /NAME/."""
+    return dict(dict(Name=name, Host=HOST, Prefix=f"/{name}/",
+                     RouteType="idempotent", TimeoutMs=4000, ObjectiveMs=600,
+                     Priority=2, MaxAttempts=2, Service=to), **more)
+
+
+def gather(name, shards, top, least):
+    """A route over many shards, for all paths below /NAME/."""
+    asked = route(name, None, TimeoutMs=800, ObjectiveMs=150, Gather=shards,
+                  TopK=top, MinCoverage=least)
+    del asked["Service"]
+    return asked
+
+
+def config(version, routes, services):
+    return dict(Version=version, Routes=routes, Services=services,
+                Limits=dict(MaxHeaderBytes=16384, MaxBodyBytes=262144,
+                            HeaderTimeoutMs=3000, IdleTimeoutMs=15000))
+
+
 class CannotRun(Exception):
     """The case could not be played."""
 
@@ -44,11 +80,16 @@
 
 
 def free_ports(count):
-    """Ports that are free now; held together so that they differ."""
+    """Ports that are free now, below those of outgoing connections, so that
+    none of these takes one while a process is restarted."""
     held = []
-    for _ in range(count):
+    while len(held) < count:
         sock = socket.socket()
-        sock.bind(("127.0.0.1", 0))
+        try:
+            sock.bind(("127.0.0.1", random.randrange(12_000, 32_000)))
+        except OSError:
+            sock.close()
+            continue
         held.append(sock)
     ports = [sock.getsockname()[1] for sock in held]
     for sock in held:
@@ -161,15 +202,17 @@
             self.record.note(f"store at port {port} answered 503 to {path}")
             return 503, {}
         prefix = query.get("Prefix", "")
-        if path == "/banyanknot/kv-range":
+        if path == WIRE["kRangePath"]:
             after = query.get("after", "")
             keys = sorted(key for key in self.items
                           if key.startswith(prefix) and key > after)
-            return 200, {"items": [self.items[key] for key in keys[:500]],
-                         "HasMore": len(keys) > 500, "AsOf": self.revision}
-        if path == "/banyanknot/kv-watch":
+            return 200, dict(items=[self.items[key] for key in keys[:500]],
+                             HasMore=len(keys) > 500, AsOf=self.revision)
+        if path == WIRE["kWatchPath"]:
             after = int(query["after"])
-            end = time.monotonic() + int(query.get("WaitMs", "0")) / 1000
+            wait_ms = next(value for name, value in query.items()
+                           if name.startswith("Wait"))
+            end = time.monotonic() + int(wait_ms) / 1000
             if after > self.revision:
                 return 410, {}
             while True:
@@ -180,7 +223,7 @@
                 if port in self.refuses:
                     return 503, {}
                 if events or left <= 0:
-                    return 200, {"events": events, "AsOf": self.revision}
+                    return 200, dict(events=events, AsOf=self.revision)
                 try:
                     async with self.changed:
                         await asyncio.wait_for(self.changed.wait(), left)
@@ -211,10 +254,10 @@
 
     async def register(self, store, state="ready"):
         self.sequence += 1
-        await store.put(f"servers/{self.ident}", {
-            "Service": self.service, "Address": f"127.0.0.1:{self.port}",
-            "Zone": self.zone, "Version": "v1", "Slots": 4, "State": state,
-            "WarmupLeftMs": 0, "Sequence": self.sequence, "born": self.born})
+        await store.put(WIRE["kServerPrefix"] + self.ident, dict(
+            Service=self.service, Address=f"127.0.0.1:{self.port}",
+            Zone=self.zone, Version="v1", Slots=4, State=state,
+            WarmupLeftMs=0, Sequence=self.sequence, born=self.born))
 
     async def serve(self, reader, writer):
         try:
@@ -240,14 +283,14 @@
     async def handle(self, line, headers, body, writer):
         """Answers one request; returns False to close the connection."""
         if line.split(" ")[1] == "/health":
-            writer.write(encode(200, [("Instance-Id", self.ident),
-                                      ("Server-Load", "0,0,4")]))
+            writer.write(encode(200, [(WIRE["kServerId"], self.ident),
+                                      (WIRE["kServerLoad"], "0,0,4")]))
             await writer.drain()
             return True
-        attempt = headers.get("attempt-id", "")
-        if headers.get("target-instance", self.ident) != self.ident:
-            writer.write(encode(421, [("Instance-Id", self.ident),
-                                      ("Attempt-Id", attempt)]))
+        attempt = headers.get(WIRE["kRequestId"].lower(), "")
+        if headers.get(WIRE["kExpectedServer"].lower(), self.ident) != self.ident:
+            writer.write(encode(421, [(WIRE["kServerId"], self.ident),
+                                      (WIRE["kRequestId"], attempt)]))
             await writer.drain()
             return True
         self.runs.append((self.record.now(), attempt))
@@ -255,11 +298,13 @@
                          f"{line}")
         return await self.answer(attempt, line, body, writer)
 
+    def whole_answer(self, attempt, body):
+        return encode(200, [(WIRE["kRequestId"], attempt),
+                            (WIRE["kSignature"], self.stamp(attempt)),
+                            (WIRE["kServerLoad"], "1,0,4")], body)
+
     async def answer(self, attempt, line, body, writer):
-        writer.write(encode(200, [("Attempt-Id", attempt),
-                                  ("Server-Stamp", self.stamp(attempt)),
-                                  ("Server-Load", "0,0,4")],
-                            self.body_for(attempt)))
+        writer.write(self.whole_answer(attempt, self.body_for(attempt)))
         await writer.drain()
         return True
 
@@ -301,7 +346,7 @@
             ["target/banyanknot_edge"], cwd=ROOT, stdin=subprocess.DEVNULL,
             stdout=log, stderr=log,
             env={"PATH": os.environ.get("PATH", ""),
-                 "BANYANKNOT_CONFIG": str(self.settings)})
+                 WIRE["kSettingsVariable"]: str(self.settings)})
         log.close()
         self.rig.record.note(f"process {self.ident} started")
 
@@ -322,7 +367,7 @@
 
     async def is_ready(self):
         try:
-            answer = await call(self.ready, "GET", "/banyanknot/ready", {},
+            answer = await call(self.ready, "GET", WIRE["kReadyPath"], {},
                                 limit=1)
         except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError):
             return False
@@ -370,6 +415,11 @@
         writer.close()
 
 
+def request_headers(attempt, deadline):
+    return {"Host": HOST, WIRE["kRequestId"]: attempt,
+            WIRE["kDeadline"]: deadline}
+
+
 class Rig:
     """Owns the folder, the record and the processes of one case."""
 
@@ -389,7 +439,7 @@
         self.count += 1
         return f"a{self.count:05d}"
 
-    async def ask(self, edge, path, host="plans.example", method="GET",
+    async def ask(self, edge, path, method="GET",
                   body=b"", deadline=2000):
         """A client's attempt; returns (its id, the answer or None)."""
         attempt = self.attempt()
@@ -397,8 +447,7 @@
                          f"{path}")
         try:
             answer = await call(edge.front, method, path,
-                                {"Host": host, "Attempt-Id": attempt,
-                                 "Deadline-Ms": deadline}, body,
+                                request_headers(attempt, deadline), body,
                                 deadline / 1000 + 0.5)
         except (OSError, asyncio.TimeoutError):
             answer = None
