Record what other hosts passed on in the history of changes

Cause: ChangeHistory recorded only what a host heard from the source itself. A host that followed watchers, and then took the place of a lost one, appended its first changes to a history that ended where it had begun to follow them.

Evidence: the restarted host logged routes_in_force with version 7 at revision 107, from a host; the source held version 9 from revision 106 on. Ruled out: a stale view (its age was fresh), another era (all are 0), and the restarted host, which had no older position to compare.

Why the fix works: the history now records whatever the host applies, so it is that of the host's own view at each position. Only the source's own word counts for the age, so hosts that hear of each other but not of the source don't keep an old view alive.

--- a/include/banyanknot/coordination/delegation/change_history.h
+++ b/include/banyanknot/coordination/delegation/change_history.h
@@ -29,19 +29,30 @@
   std::vector<EncodedChange> changes;
 };
 
-/// \brief What this host itself heard from the source, kept for other hosts.
+/// \brief What this host knows of the source, kept for other hosts.
 ///
-/// Nothing second-hand is recorded, so that a host with an old view is known by
-/// the age of its history. Bounded in changes and bytes. Thread-safe.
+/// Holds all that the host applies, in order, whether the source or another
+/// host said so: what is passed on is what the source held at the position that
+/// it names. Only the source's own word makes it fresh, so that hosts which
+/// hear of each other but not of the source don't keep an old view alive.
+/// Bounded in changes and bytes. Thread-safe.
 class ChangeHistory {
  public:
   static constexpr std::size_t kMaxBatches = 256;
   static constexpr std::size_t kMaxBytes = 2u << 20;
+  /// Age of a history that the source itself never confirmed.
+  static constexpr state::Duration kUnconfirmedAge =
+      state::Milliseconds(3'600'000);
 
   /// \brief Records a complete snapshot that was read at `now`.
   void RecordSnapshot(const RoutingBatch& snapshot, state::TimePoint now);
-  /// \brief Records the changes of a watch that ended at `now`, if any.
-  void RecordChanges(const RoutingBatch& batch, state::TimePoint now);
+  /// \brief Records the changes after the position `after`, if any, of a watch
+  /// that ended at `now`.
+  ///
+  /// Where other changes are missing before them, nothing is passed on until
+  /// the next snapshot.
+  void RecordChanges(const state::SourcePosition& after,
+                     const RoutingBatch& batch, state::TimePoint now);
   /// \brief Records that the source returned after a failure.
   void RecordReturn(state::TimePoint now);
 
@@ -67,14 +78,22 @@
   };
 
   PassedChanges Header(state::TimePoint now) const;
+  void Confirm(const RoutingBatch& batch, state::TimePoint now);
+  bool ContinuesFrom(const state::SourcePosition& after,
+                     const RoutingBatch& batch) const;
+  void Append(const RoutingBatch& batch);
+  void Forget();
   void Trim();
   std::vector<Waiter> TakeWaiters();
+  /// \brief Calls the handlers that still exist; without the lock.
+  static void Notify(const std::vector<Waiter>& waiters);
 
   mutable std::mutex mutex;
   bool has_snapshot = false;
-  state::SourcePosition position;
+  state::SourcePosition position;     // of the last relevant change
+  std::uint64_t known_revision = 0;   // all changes up to it are known
   std::uint64_t oldest_revision = 0;  // changes after it are known
-  state::TimePoint confirmed_at;
+  std::optional<state::TimePoint> confirmed_at;  // by the source itself
   state::TimePoint returned_at = state::TimePoint::min();
   std::map<std::string, std::string> present;  // text by key
   std::deque<Batch> batches;                   // oldest first
--- a/include/banyanknot/coordination/delegation/shared_source.h
+++ b/include/banyanknot/coordination/delegation/shared_source.h
@@ -24,9 +24,9 @@
 ///
 /// A watcher that doesn't reply, or that has itself not heard from the source
 /// for kMaxAge, is left out for a while. An old view is used only where nothing
-/// newer can be had: while the source fails and every watcher is left out. What
-/// this host hears from the source goes into the ChangeHistory for its own
-/// followers. Thread-safe.
+/// newer can be had: while the source fails and every watcher is left out. All
+/// that this host hears, from either, goes into the ChangeHistory, since it may
+/// have to take the place of a watcher at any time. Thread-safe.
 class SharedSource : public RoutingSource, public MetricSource {
  public:
   /// A watcher's history may be this old: longer than its own wait at the
--- a/src/coordination/delegation/change_history.cc
+++ b/src/coordination/delegation/change_history.cc
@@ -12,14 +12,23 @@
 
 }  // namespace
 
+void ChangeHistory::Notify(const std::vector<Waiter>& waiters) {
+  for (const Waiter& waiter : waiters) {
+    const std::shared_ptr<std::function<void()>> handler =
+        waiter.handler.lock();
+    if (handler != nullptr) (*handler)();
+  }
+}
+
 void ChangeHistory::RecordSnapshot(const RoutingBatch& snapshot,
                                    state::TimePoint now) {
   std::vector<Waiter> notified;
   {
     const std::lock_guard<std::mutex> lock(this->mutex);
+    this->Confirm(snapshot, now);
     this->has_snapshot = true;
-    this->confirmed_at = now;
     this->position = snapshot.position;
+    this->known_revision = snapshot.position.revision;
     this->oldest_revision = snapshot.position.revision;
     this->batches.clear();
     this->batch_bytes = 0;
@@ -29,45 +38,65 @@
     }
     notified = this->TakeWaiters();
   }
-  for (const Waiter& waiter : notified) {
-    const std::shared_ptr<std::function<void()>> handler =
-        waiter.handler.lock();
-    if (handler != nullptr) (*handler)();
-  }
+  Notify(notified);
 }
 
-void ChangeHistory::RecordChanges(const RoutingBatch& batch,
+void ChangeHistory::RecordChanges(const state::SourcePosition& after,
+                                  const RoutingBatch& batch,
                                   state::TimePoint now) {
   std::vector<Waiter> notified;
   {
     const std::lock_guard<std::mutex> lock(this->mutex);
-    this->confirmed_at = now;
-    if (batch.encoded.empty()) {
-      // Irrelevant changes only: followers need not hear of the revision.
+    this->Confirm(batch, now);
+    if (!this->ContinuesFrom(after, batch)) {
+      this->Forget();
       return;
     }
-    Batch added;
-    added.revision = std::max(batch.position.revision, this->position.revision);
-    added.changes = batch.encoded;
-    for (const EncodedChange& change : batch.encoded) {
-      added.bytes += change.key.size() + change.text.size();
-      if (change.is_removal) {
-        this->present.erase(change.key);
-      } else {
-        this->present[change.key] = change.text;
-      }
-    }
-    this->position.revision = added.revision;
-    this->batch_bytes += added.bytes;
-    this->batches.push_back(std::move(added));
+    this->Append(batch);
+    this->known_revision =
+        std::max(this->known_revision, batch.position.revision);
     this->Trim();
     notified = this->TakeWaiters();
   }
-  for (const Waiter& waiter : notified) {
-    const std::shared_ptr<std::function<void()>> handler =
-        waiter.handler.lock();
-    if (handler != nullptr) (*handler)();
+  Notify(notified);
+}
+
+void ChangeHistory::Confirm(const RoutingBatch& batch, state::TimePoint now) {
+  if (!batch.is_passed_on) this->confirmed_at = now;
+}
+
+bool ChangeHistory::ContinuesFrom(const state::SourcePosition& after,
+                                  const RoutingBatch& batch) const {
+  return this->has_snapshot && after.era == this->position.era &&
+         batch.position.era == this->position.era &&
+         after.revision <= this->known_revision;
+}
+
+void ChangeHistory::Append(const RoutingBatch& batch) {
+  Batch added;
+  for (const EncodedChange& change : batch.encoded) {
+    if (change.revision <= this->known_revision) continue;
+    added.changes.push_back(change);
+    added.bytes += change.key.size() + change.text.size();
+    if (change.is_removal) {
+      this->present.erase(change.key);
+    } else {
+      this->present[change.key] = change.text;
+    }
   }
+  // Of irrelevant changes alone followers need not hear.
+  if (added.changes.empty()) return;
+  added.revision = batch.position.revision;
+  this->position.revision = added.revision;
+  this->batch_bytes += added.bytes;
+  this->batches.push_back(std::move(added));
+}
+
+void ChangeHistory::Forget() {
+  this->has_snapshot = false;
+  this->present.clear();
+  this->batches.clear();
+  this->batch_bytes = 0;
 }
 
 void ChangeHistory::Trim() {
@@ -98,7 +127,7 @@
 PassedChanges ChangeHistory::Header(state::TimePoint now) const {
   PassedChanges passed;
   passed.position = this->position;
-  passed.age = now - this->confirmed_at;
+  passed.age = this->confirmed_at ? now - *this->confirmed_at : kUnconfirmedAge;
   passed.defers_removals = this->returned_at != state::TimePoint::min() &&
                            now - this->returned_at < kDeferredRemovalWindow;
   return passed;
--- a/src/coordination/delegation/shared_source.cc
+++ b/src/coordination/delegation/shared_source.cc
@@ -107,6 +107,7 @@
   batch.is_passed_on = true;
   batch.is_stale = passed.age > kMaxAge;
   batch.defers_removals = passed.defers_removals;
+  batch.encoded = passed.changes;
   for (const EncodedChange& encoded : passed.changes) {
     std::optional<RoutingChange> change = this->decoder.Decode(encoded);
     if (change) batch.changes.push_back(std::move(*change));
@@ -167,7 +168,9 @@
       [this, choice = *choice, handler = std::move(handler)](
           const std::optional<PassedChanges>& passed) mutable {
         if (passed && this->IsUsableSnapshot(*passed, choice.accepts_stale)) {
-          handler(this->ToBatch(*passed));
+          RoutingBatch batch = this->ToBatch(*passed);
+          this->history.RecordSnapshot(batch, this->clock.Now());
+          handler(std::move(batch));
           return;
         }
         this->LeaveOut(choice.watcher.id, passed);
@@ -185,14 +188,14 @@
                                RoutingBatchHandler handler) {
   ++this->source_calls;
   this->source.Watch(after, this->SourceWait(wait),
-                     [this, handler = std::move(handler)](
+                     [this, after, handler = std::move(handler)](
                          state::Result<RoutingBatch, SourceFailure> result) {
                        const state::TimePoint now = this->clock.Now();
                        this->OnSourceResult(result, now);
                        if (state::IsOk(result)) {
                          this->RecordPosition(state::ValueOf(result).position);
-                         this->history.RecordChanges(state::ValueOf(result),
-                                                     now);
+                         this->history.RecordChanges(
+                             after, state::ValueOf(result), now);
                        }
                        handler(std::move(result));
                      });
@@ -227,7 +230,9 @@
         const bool is_usable = passed && !passed->is_history_gone &&
                                (passed->age <= kMaxAge || choice.accepts_stale);
         if (is_usable) {
-          handler(this->ToBatch(*passed));
+          RoutingBatch batch = this->ToBatch(*passed);
+          this->history.RecordChanges(after, batch, now);
+          handler(std::move(batch));
           return;
         }
         if (passed && passed->position.era > after.era) {
--- a/test/coordination/delegation/change_history_test.cc
+++ b/test/coordination/delegation/change_history_test.cc
@@ -35,8 +35,8 @@
   CHECK(history.Snapshot(kStart).is_history_gone);
   history.RecordSnapshot(Batch(10, {{"a", "a1", false, 5}}), kStart);
   history.RecordChanges(
-      Batch(14, {{"b", "b1", false, 12}, {"a", "", true, 14}}), kStart);
-  history.RecordChanges(Batch(20, {{"c", "c1", false, 20}}), kStart);
+      {10}, Batch(14, {{"b", "b1", false, 12}, {"a", "", true, 14}}), kStart);
+  history.RecordChanges({14}, Batch(20, {{"c", "c1", false, 20}}), kStart);
   CHECK(KeysOf(history.After({10}, kStart)) ==
         std::vector<std::string>{"b", "a", "c"});
   // Followed directly for a while, in other batches.
@@ -57,7 +57,7 @@
   history.RecordSnapshot(Batch(10, {}), kStart);
   CHECK(history.After({10}, kStart + Milliseconds(700)).age ==
         Milliseconds(700));
-  history.RecordChanges(Batch(10, {}), kStart + Milliseconds(900));
+  history.RecordChanges({10}, Batch(10, {}), kStart + Milliseconds(900));
   CHECK(history.After({10}, kStart + Milliseconds(1'000)).age ==
         Milliseconds(100));
   CHECK_FALSE(history.After({10}, kStart).defers_removals);
@@ -72,6 +72,7 @@
   history.RecordSnapshot(Batch(1, {}), kStart);
   for (std::uint64_t revision = 2; revision < 1'000; ++revision) {
     history.RecordChanges(
+        {revision - 1},
         Batch(revision, {{"k", std::string(100, 'x'), false, revision}}),
         kStart);
   }
@@ -82,6 +83,7 @@
   CHECK(history.Snapshot(kStart).changes.size() == 1);
   for (std::uint64_t revision = 1'000; revision < 1'010; ++revision) {
     history.RecordChanges(
+        {revision - 1},
         Batch(revision, {{"k", std::string(1u << 20, 'x'), false, revision}}),
         kStart);
   }
@@ -96,11 +98,11 @@
   const std::shared_ptr<std::function<void()>> handler =
       std::make_shared<std::function<void()>>([&calls] { ++calls; });
   history.NotifyAfter({10}, handler);
-  history.RecordChanges(Batch(10, {}), kStart);
+  history.RecordChanges({10}, Batch(10, {}), kStart);
   CHECK(calls == 0);
-  history.RecordChanges(Batch(11, {{"a", "", false, 11}}), kStart);
+  history.RecordChanges({10}, Batch(11, {{"a", "", false, 11}}), kStart);
   CHECK(calls == 1);
-  history.RecordChanges(Batch(12, {{"a", "", false, 12}}), kStart);
+  history.RecordChanges({11}, Batch(12, {{"a", "", false, 12}}), kStart);
   CHECK(calls == 1);
   history.NotifyAfter({11}, handler);  // there is one already
   CHECK(calls == 2);
@@ -109,7 +111,7 @@
         std::make_shared<std::function<void()>>([&calls] { ++calls; });
     history.NotifyAfter({12}, gone);
   }
-  history.RecordChanges(Batch(13, {{"a", "", false, 13}}), kStart);
+  history.RecordChanges({12}, Batch(13, {{"a", "", false, 13}}), kStart);
   CHECK(calls == 2);
 }
 
@@ -124,7 +126,7 @@
   // Lost and written again under other revisions.
   history.RecordSnapshot(Batch(7, {{"a", "a0", false, 3}}, 2), kStart);
   CHECK(notifications == 1);
-  history.RecordChanges(Batch(12, {{"a", "a2", false, 12}}, 2), kStart);
+  history.RecordChanges({7, 2}, Batch(12, {{"a", "a2", false, 12}}, 2), kStart);
   for (const state::SourcePosition& other :
        {state::SourcePosition{10, 1}, {10, 0}, {10, 3}}) {
     const PassedChanges passed = history.After(other, kStart);
@@ -135,5 +137,61 @@
   CHECK(KeysOf(history.After({7, 2}, kStart)) == std::vector<std::string>{"a"});
 }
 
+TEST_CASE("Nothing is passed on across changes that were not heard") {
+  const RoutingBatch snapshot = Batch(10, {{"a", "a1", false, 5}}, 1);
+  for (const state::SourcePosition& after :
+       {state::SourcePosition{11, 1}, {10, 0}, {10, 2}}) {
+    ChangeHistory history;
+    history.RecordSnapshot(snapshot, kStart);
+    history.RecordChanges(after, Batch(14, {{"b", "b1", false, 14}}, after.era),
+                          kStart);
+    CHECK(history.Snapshot(kStart).is_history_gone);
+    CHECK(history.Snapshot(kStart).changes.empty());
+    CHECK(history.After({14, after.era}, kStart).is_history_gone);
+    CHECK(history.After({10, 1}, kStart).is_history_gone);
+    history.RecordSnapshot(snapshot, kStart);
+    CHECK(KeysOf(history.Snapshot(kStart)) == std::vector<std::string>{"a"});
+  }
+  ChangeHistory empty;
+  empty.RecordChanges({10}, Batch(14, {{"b", "b1", false, 14}}), kStart);
+  CHECK(empty.Snapshot(kStart).is_history_gone);
+  CHECK(empty.After({14}, kStart).is_history_gone);
+}
+
+TEST_CASE("Irrelevant changes leave no gap in the history") {
+  ChangeHistory history;
+  history.RecordSnapshot(Batch(10, {}), kStart);
+  history.RecordChanges({10}, Batch(30, {}), kStart);
+  history.RecordChanges({30}, Batch(31, {{"a", "a1", false, 31}}), kStart);
+  CHECK(KeysOf(history.After({10}, kStart)) == std::vector<std::string>{"a"});
+}
+
+TEST_CASE("A change that is heard twice doesn't replace a later one") {
+  ChangeHistory history;
+  history.RecordSnapshot(Batch(10, {}), kStart);
+  history.RecordChanges({10}, Batch(12, {{"a", "a2", false, 12}}), kStart);
+  history.RecordChanges({10}, Batch(11, {{"a", "a1", false, 11}}), kStart);
+  const PassedChanges snapshot = history.Snapshot(kStart);
+  REQUIRE(snapshot.changes.size() == 1);
+  CHECK(snapshot.changes.front().text == "a2");
+  CHECK(snapshot.position.revision == 12);
+}
+
+TEST_CASE("What another host said is passed on, but doesn't make it fresh") {
+  ChangeHistory history;
+  RoutingBatch batch = Batch(10, {{"a", "a1", false, 10}});
+  batch.is_passed_on = true;
+  history.RecordSnapshot(batch, kStart);
+  CHECK(KeysOf(history.Snapshot(kStart)) == std::vector<std::string>{"a"});
+  CHECK(history.Snapshot(kStart).age == ChangeHistory::kUnconfirmedAge);
+  history.RecordChanges({10}, Batch(10, {}), kStart);
+  CHECK(history.Snapshot(kStart).age == Milliseconds(0));
+  batch.encoded = {{"a", "a2", false, 11}};
+  batch.position.revision = 11;
+  history.RecordChanges({10}, batch, kStart + Milliseconds(500));
+  CHECK(history.Snapshot(kStart + Milliseconds(500)).age == Milliseconds(500));
+  CHECK(history.After({10}, kStart).changes.size() == 1);
+}
+
 }  // namespace
 }  // namespace banyanknot::coordination
--- a/test/coordination/delegation/shared_source_test.cc
+++ b/test/coordination/delegation/shared_source_test.cc
@@ -1,283 +1,13 @@
 #include "banyanknot/coordination/delegation/shared_source.h"
 
-#include <algorithm>
 #include <catch2/catch.hpp>
-#include <map>
-#include <memory>
 #include <string>
-#include <utility>
-#include <vector>
 
-#include "coordination/routing/relay_fixture.h"
+#include "coordination/delegation/sharing_fleet.h"
 
 namespace banyanknot::coordination::routing_testing {
 namespace {
 
-constexpr state::Duration kWait = Milliseconds(4'500);
-
-/// A source with revisions that tests write; each change is one evacuation.
-class FakeSource : public RoutingSource {
- public:
-  explicit FakeSource(fleet_testing::VirtualTime& time) : time(time) {}
-
-  void ReadAll(RoutingBatchHandler handler) override {
-    ++this->reads;
-    this->Reply(Milliseconds(4), [this, handler = std::move(handler)] {
-      if (!this->is_up) {
-        handler(SourceFailure::kRefused);
-        return;
-      }
-      handler(this->BatchAfter(0));
-    });
-  }
-  void Watch(const state::SourcePosition& position, state::Duration wait,
-             RoutingBatchHandler handler) override {
-    ++this->watches;
-    this->waits.push_back(wait);
-    const std::uint64_t after = position.revision;
-    if (!this->is_up || this->revision != after) {
-      this->Reply(Milliseconds(4),
-                  [this, position, handler = std::move(handler)] {
-                    if (!this->is_up) {
-                      handler(SourceFailure::kRefused);
-                    } else if (position.revision < this->oldest_revision ||
-                               position.revision > this->revision) {
-                      handler(SourceFailure::kHistoryGone);
-                    } else {
-                      handler(RequireContinuation(
-                          position, this->BatchAfter(position.revision)));
-                    }
-                  });
-      return;
-    }
-    const std::shared_ptr<bool> is_done = std::make_shared<bool>(false);
-    const auto end = [this, position, is_done, handler = std::move(handler)] {
-      if (std::exchange(*is_done, true)) return;
-      if (this->is_up) {
-        handler(
-            RequireContinuation(position, this->BatchAfter(position.revision)));
-      } else {
-        handler(SourceFailure::kSilent);
-      }
-    };
-    this->time.RunAt(this->time.Now() + wait, end);
-    this->waiting.push_back(end);
-  }
-  void Write() {
-    ++this->revision;
-    this->names[this->revision] = NameOf({this->revision, this->era});
-    std::vector<std::function<void()>> ended;
-    ended.swap(this->waiting);
-    if (!this->is_up) return;
-    for (const std::function<void()>& end : ended) end();
-  }
-
-  /// Returns from a copy that was taken at a revision; open watches are cut.
-  void ReturnFromCopy(std::uint64_t copied) {
-    this->is_up = false;
-    for (const std::function<void()>& end : std::exchange(this->waiting, {})) {
-      end();
-    }
-    this->is_up = true;
-    this->revision = copied;
-    ++this->era;
-    for (std::uint64_t lost = copied + 1; this->names.erase(lost) > 0;) ++lost;
-  }
-  static std::string NameOf(const state::SourcePosition& position) {
-    return "domain" + std::to_string(position.revision) + "-" +
-           std::to_string(position.era);
-  }
-
-  std::uint64_t revision = 1;
-  std::uint64_t era = 0;
-  std::uint64_t oldest_revision = 0;  // changes after it are known
-  bool is_up = true;
-  int reads = 0;
-  int watches = 0;
-  std::vector<state::Duration> waits;
-
- private:
-  void Reply(state::Duration after, std::function<void()> reply) {
-    this->time.RunAt(this->time.Now() + after, std::move(reply));
-  }
-  RoutingBatch BatchAfter(std::uint64_t after) const {
-    RoutingBatch batch;
-    batch.position = {this->revision, this->era};
-    for (const auto& [number, name] : this->names) {
-      if (number <= after) continue;
-      batch.changes.push_back(
-          DomainStateChange{state::FailureDomainId(name), true});
-      batch.encoded.push_back({name, name, false, number});
-    }
-    return batch;
-  }
-
-  fleet_testing::VirtualTime& time;
-  std::map<std::uint64_t, std::string> names{{1, NameOf({1, 0})}};
-  std::vector<std::function<void()>> waiting;
-};
-
-class NameDecoder : public ChangeDecoder {
- public:
-  std::optional<RoutingChange> Decode(
-      const EncodedChange& change) const override {
-    return DomainStateChange{state::FailureDomainId(change.text), true};
-  }
-};
-
-/// A failure domain of hosts that follow one source, each by a SourceFollower.
-class SharingFleet {
- public:
-  struct Host : HostLink {
-    Host(SharingFleet& fleet, const state::HostAdvert& own)
-        : fleet(fleet),
-          roster(own),
-          source(fleet.time),
-          shared(fleet.time, source, *this, roster, fleet.decoder, history,
-                 fixture.log),
-          follower(fleet.time, fleet.time, fleet.random, shared, fixture.intake,
-                   fixture.log, Milliseconds(6'000)) {}
-    std::shared_ptr<RelayCall> Delegate(
-        const state::Endpoint& /*host*/, DelegatedRequest /*request*/,
-        DelegationHandler /*handler*/) override {
-      return nullptr;
-    }
-    void ExchangeAdverts(const state::Endpoint& /*host*/,
-                         const state::HostAdvert& /*own*/,
-                         AdvertsHandler handler) override {
-      handler(std::nullopt);
-    }
-    void FollowChanges(const state::Endpoint& host,
-                       const state::SourcePosition& after, state::Duration wait,
-                       ChangesHandler handler) override {
-      Host& other = this->fleet.At(host.address);
-      const state::TimePoint now = this->fleet.time.Now();
-      if (!other.is_up) {
-        this->fleet.time.RunAt(now + wait + Milliseconds(300),
-                               [handler] { handler(std::nullopt); });
-        return;
-      }
-      const std::shared_ptr<bool> is_done = std::make_shared<bool>(false);
-      const std::shared_ptr<std::function<void()>> reply =
-          std::make_shared<std::function<void()>>(
-              [this, &other, after, is_done, handler] {
-                if (std::exchange(*is_done, true)) return;
-                if (!other.is_up) {
-                  handler(std::nullopt);
-                  return;
-                }
-                handler(other.history.After(after, this->fleet.time.Now()));
-              });
-      this->fleet.time.RunAt(now + wait, [reply] { (*reply)(); });
-      other.history.NotifyAfter(after, reply);
-    }
-    void ReadSnapshot(const state::Endpoint& host,
-                      ChangesHandler handler) override {
-      Host& other = this->fleet.At(host.address);
-      const state::TimePoint now = this->fleet.time.Now();
-      this->fleet.time.RunAt(now + Milliseconds(1), [this, &other, handler] {
-        if (!other.is_up) {
-          handler(std::nullopt);
-          return;
-        }
-        handler(other.history.Snapshot(this->fleet.time.Now()));
-      });
-    }
-    bool Knows(const state::SourcePosition& change) const {
-      const std::vector<state::FailureDomainId> out =
-          this->fixture.servers.DomainsOut();
-      return std::count(out.begin(), out.end(),
-                        state::FailureDomainId(FakeSource::NameOf(change))) > 0;
-    }
-
-    SharingFleet& fleet;
-    bool is_up = true;
-    RelayFixture fixture;
-    GathererRoster roster;
-    FakeSource source;
-    ChangeHistory history;
-    SharedSource shared;
-    SourceFollower follower;
-  };
-
-  explicit SharingFleet(int size) {
-    for (int index = 0; index < size; ++index) {
-      state::HostAdvert own;
-      own.id = state::HostId("h" + std::to_string(index));
-      own.domain = state::FailureDomainId("a");
-      own.endpoint = {own.id.Text(), 80};
-      own.cores = index < 2 ? 0.5 : 0.12;
-      own.takes_work = true;
-      this->adverts.push_back(own);
-      this->hosts.emplace(own.id.Text(), std::make_unique<Host>(*this, own));
-    }
-  }
-  Host& At(const std::string& id) { return *this->hosts.at(id); }
-  /// All hosts hear of each other; watchers that are down say nothing.
-  void Introduce() {
-    for (const auto& [id, host] : this->hosts) {
-      for (const state::HostAdvert& advert : this->adverts) {
-        if (!this->At(advert.id.Text()).is_up) continue;
-        host->roster.Hear(advert, this->time.Now());
-      }
-    }
-  }
-  void Start() {
-    for (const auto& [id, host] : this->hosts) host->follower.Start();
-  }
-  void Advance(state::Duration duration) {
-    for (state::Duration passed{0}; passed < duration;
-         passed += Milliseconds(100)) {
-      this->Introduce();
-      this->time.Advance(Milliseconds(100));
-    }
-  }
-  /// Writes a change at the source, as all hosts see it.
-  std::uint64_t Write() {
-    std::uint64_t revision = 0;
-    for (const auto& [id, host] : this->hosts) {
-      host->source.Write();
-      revision = host->source.revision;
-    }
-    return revision;
-  }
-  void DropHistory() {
-    for (const auto& [id, host] : this->hosts) {
-      host->source.oldest_revision = host->source.revision;
-    }
-  }
-  void SetSourceUp(bool is_up) {
-    for (const auto& [id, host] : this->hosts) host->source.is_up = is_up;
-  }
-  void ReturnFromCopy(std::uint64_t copied) {
-    for (const auto& [id, host] : this->hosts) {
-      host->source.ReturnFromCopy(copied);
-    }
-  }
-  int CountKnowing(std::uint64_t revision, std::uint64_t era = 0) {
-    int count = 0;
-    for (const auto& [id, host] : this->hosts) {
-      if (host->is_up && host->Knows({revision, era})) ++count;
-    }
-    return count;
-  }
-  int Calls() {
-    int calls = 0;
-    for (const auto& [id, host] : this->hosts) {
-      calls += host->source.reads + host->source.watches;
-    }
-    return calls;
-  }
-
-  fleet_testing::VirtualTime time;
-  FixedRandomSource random{3};
-  NameDecoder decoder;
-
- private:
-  std::vector<state::HostAdvert> adverts;
-  std::map<std::string, std::unique_ptr<Host>> hosts;
-};
-
 constexpr int kHosts = 20;
 
 TEST_CASE("Two watchers call the source and all hosts hear of each change") {
@@ -533,5 +263,28 @@
   CHECK(is_answered);
 }
 
+// Guards against a host that follows the source in place of lost watchers and
+// passes on, as if it were new, what it knew before it followed them.
+TEST_CASE("Hosts that take over from lost watchers pass on all changes") {
+  SharingFleet fleet(7);
+  fleet.Start();
+  fleet.Publish(LogDecoder::kRoutesKey, "7");
+  fleet.Advance(Milliseconds(8'000));
+  fleet.Publish(LogDecoder::kRoutesKey, "9");
+  fleet.Advance(Milliseconds(6'000));
+  for (const char* id : {"h0", "h1"}) fleet.Lose(id);
+  fleet.Advance(Milliseconds(7'000));
+  fleet.Write();
+  fleet.Advance(Milliseconds(2'000));
+  fleet.Restart("h6", false);
+  fleet.Advance(Milliseconds(3'000));
+  SharingFleet::Host& restarted = fleet.At("h6");
+  REQUIRE(restarted.fixture.routes.Current() != nullptr);
+  CHECK(restarted.fixture.routes.Current()->Version() == 9);
+  restarted.source.is_up = true;
+  fleet.Advance(Milliseconds(10'000));
+  CHECK(restarted.fixture.routes.Current()->Version() == 9);
+}
+
 }  // namespace
 }  // namespace banyanknot::coordination::routing_testing
