Count the age of a late response from when it was asked for

What callers saw: nothing that is known.

Cause: a view's age counted from when a response was read. One that arrives during a pause is read first when the process goes on.

Evidence: the property of passed changes, with the age compared with the source's past, failed after 183 sequences, shrunk to "paused, routes, routes, resumed". Ruled out: the client's timeout, since timer and response are due together after the pause and the response is handled first.

Why the fix works: a response that comes later than its wait and a margin counts from when it was asked for; the source can't have said it earlier. That holds for responses of the source and of watchers, for what a host passes on and for its own key checks.

Tests: "A response that is read after a pause makes a view no fresher" and the property failed before and pass now; the other tests of the program, but those of quotas, pass.

--- a/include/banyanknot/coordination/delegation/change_history.h
+++ b/include/banyanknot/coordination/delegation/change_history.h
@@ -44,10 +44,11 @@
   static constexpr state::Duration kUnconfirmedAge =
       state::Milliseconds(3'600'000);
 
-  /// \brief Records a complete snapshot that was read at `now`.
+  /// \brief Records a complete snapshot that came at `now`.
   void RecordSnapshot(const RoutingBatch& snapshot, state::TimePoint now);
   /// \brief Records the changes after the position `after`, if any, of a watch
-  /// that ended at `now`.
+  /// that ended at `now`. What is older than the last word of the source makes
+  /// it no fresher.
   ///
   /// Where other changes are missing before them, nothing is passed on until
   /// the next snapshot.
--- a/include/banyanknot/coordination/delegation/shared_source.h
+++ b/include/banyanknot/coordination/delegation/shared_source.h
@@ -61,6 +61,11 @@
   void WatchSource(const state::SourcePosition& after, state::Duration wait,
                    RoutingBatchHandler handler);
   RoutingBatch ToBatch(const PassedChanges& passed);
+  /// \brief Returns what to add to the age of a response that has just come.
+  /// \param sent_at when it was asked for
+  /// \param wait how long the other side was allowed to wait
+  state::Duration Lateness(state::TimePoint sent_at,
+                           state::Duration wait) const;
   void RecordPosition(const state::SourcePosition& position);
   /// \brief Records where the source itself is, even if it has gone back.
   /// \returns true if it is in another era than before
--- a/include/banyanknot/coordination/routing/routing_source.h
+++ b/include/banyanknot/coordination/routing/routing_source.h
@@ -55,6 +55,8 @@
   std::vector<EncodedChange> encoded;  ///< the same, for other hosts
   bool is_passed_on = false;           ///< by another host, not the source
   bool is_stale = false;  ///< passed on by a host that has lost the source too
+  /// At most since the source said so; 0 for a response that came in time.
+  state::Duration age{0};
   /// Another host saw the source return just now; see RemovalMode.
   bool defers_removals = false;
 };
--- a/src/coordination/delegation/change_history.cc
+++ b/src/coordination/delegation/change_history.cc
@@ -62,7 +62,9 @@
 }
 
 void ChangeHistory::Confirm(const RoutingBatch& batch, state::TimePoint now) {
-  if (!batch.is_passed_on) this->confirmed_at = now;
+  if (batch.is_passed_on) return;
+  const state::TimePoint said_at = now - batch.age;
+  this->confirmed_at = std::max(this->confirmed_at.value_or(said_at), said_at);
 }
 
 bool ChangeHistory::ContinuesFrom(const state::SourcePosition& after,
--- a/src/coordination/delegation/shared_source.cc
+++ b/src/coordination/delegation/shared_source.cc
@@ -20,6 +20,10 @@
 /// call it without pause.
 constexpr state::Duration kMinFollowerWait = state::Milliseconds(100);
 
+/// A response that comes later than the wait and this may have been there for
+/// long, unread: this process may have been paused.
+constexpr state::Duration kResponseMargin = state::Milliseconds(1'000);
+
 /// Tells whether the source failed to answer.
 bool HasFailed(const state::Result<RoutingBatch, SourceFailure>& result) {
   return !state::IsOk(result) && !NeedsSnapshot(state::ErrorOf(result));
@@ -106,6 +110,7 @@
   batch.position = passed.position;
   batch.is_passed_on = true;
   batch.is_stale = passed.age > kMaxAge;
+  batch.age = passed.age;
   batch.defers_removals = passed.defers_removals;
   batch.encoded = passed.changes;
   for (const EncodedChange& encoded : passed.changes) {
@@ -116,6 +121,12 @@
   return batch;
 }
 
+state::Duration SharedSource::Lateness(state::TimePoint sent_at,
+                                       state::Duration wait) const {
+  const state::Duration elapsed = this->clock.Now() - sent_at;
+  return elapsed > wait + kResponseMargin ? elapsed : state::Duration(0);
+}
+
 void SharedSource::RecordPosition(const state::SourcePosition& position) {
   const std::lock_guard<std::mutex> lock(this->mutex);
   this->newest_position =
@@ -142,18 +153,22 @@
 
 void SharedSource::ReadSource(RoutingBatchHandler handler) {
   ++this->source_calls;
-  this->source.ReadAll([this, handler = std::move(handler)](
+  const state::TimePoint sent_at = this->clock.Now();
+  this->source.ReadAll([this, sent_at, handler = std::move(handler)](
                            state::Result<RoutingBatch, SourceFailure> result) {
     const state::TimePoint now = this->clock.Now();
     this->OnSourceResult(result, now);
-    if (state::IsOk(result)) {
-      const RoutingBatch& batch = state::ValueOf(result);
-      if (this->RecordSnapshotPosition(batch.position)) {
-        this->history.RecordReturn(now);
-      }
-      this->history.RecordSnapshot(batch, now);
+    if (!state::IsOk(result)) {
+      handler(std::move(result));
+      return;
     }
-    handler(std::move(result));
+    RoutingBatch batch = state::TakeValue(std::move(result));
+    batch.age = this->Lateness(sent_at, state::Duration(0));
+    if (this->RecordSnapshotPosition(batch.position)) {
+      this->history.RecordReturn(now);
+    }
+    this->history.RecordSnapshot(batch, now);
+    handler(std::move(batch));
   });
 }
 
@@ -165,8 +180,12 @@
   }
   this->link.ReadSnapshot(
       choice->watcher.endpoint,
-      [this, choice = *choice, handler = std::move(handler)](
-          const std::optional<PassedChanges>& passed) mutable {
+      [this, choice = *choice, sent_at = this->clock.Now(),
+       handler =
+           std::move(handler)](std::optional<PassedChanges> passed) mutable {
+        if (passed) {
+          passed->age += this->Lateness(sent_at, state::Duration(0));
+        }
         if (passed && this->IsUsableSnapshot(*passed, choice.accepts_stale)) {
           RoutingBatch batch = this->ToBatch(*passed);
           this->history.RecordSnapshot(batch, this->clock.Now());
@@ -187,18 +206,24 @@
                                state::Duration wait,
                                RoutingBatchHandler handler) {
   ++this->source_calls;
-  this->source.Watch(after, this->SourceWait(wait),
-                     [this, after, handler = std::move(handler)](
-                         state::Result<RoutingBatch, SourceFailure> result) {
-                       const state::TimePoint now = this->clock.Now();
-                       this->OnSourceResult(result, now);
-                       if (state::IsOk(result)) {
-                         this->RecordPosition(state::ValueOf(result).position);
-                         this->history.RecordChanges(
-                             after, state::ValueOf(result), now);
-                       }
-                       handler(std::move(result));
-                     });
+  const state::TimePoint sent_at = this->clock.Now();
+  const state::Duration source_wait = this->SourceWait(wait);
+  this->source.Watch(
+      after, source_wait,
+      [this, after, sent_at, source_wait, handler = std::move(handler)](
+          state::Result<RoutingBatch, SourceFailure> result) {
+        const state::TimePoint now = this->clock.Now();
+        this->OnSourceResult(result, now);
+        if (!state::IsOk(result)) {
+          handler(std::move(result));
+          return;
+        }
+        RoutingBatch batch = state::TakeValue(std::move(result));
+        batch.age = this->Lateness(sent_at, source_wait);
+        this->RecordPosition(batch.position);
+        this->history.RecordChanges(after, batch, now);
+        handler(std::move(batch));
+      });
 }
 
 state::Duration SharedSource::SourceWait(state::Duration wait) const {
@@ -221,12 +246,18 @@
     const std::lock_guard<std::mutex> lock(this->mutex);
     this->follows_source = false;
   }
+  const state::TimePoint sent_at = this->clock.Now();
+  const state::Duration follower_wait = this->FollowerWait(sent_at);
   this->link.FollowChanges(
-      choice->watcher.endpoint, after, this->FollowerWait(this->clock.Now()),
-      [this, after, wait, choice = *choice, handler = std::move(handler)](
-          const std::optional<PassedChanges>& passed) mutable {
+      choice->watcher.endpoint, after, follower_wait,
+      [this, after, wait, sent_at, follower_wait, choice = *choice,
+       handler =
+           std::move(handler)](std::optional<PassedChanges> passed) mutable {
         const state::TimePoint now = this->clock.Now();
-        if (passed) this->RecordWatcherAge(passed->age, now);
+        if (passed) {
+          passed->age += this->Lateness(sent_at, follower_wait);
+          this->RecordWatcherAge(passed->age, now);
+        }
         const bool is_usable = passed && !passed->is_history_gone &&
                                (passed->age <= kMaxAge || choice.accepts_stale);
         if (is_usable) {
--- a/src/coordination/routing/source_follower.cc
+++ b/src/coordination/routing/source_follower.cc
@@ -118,8 +118,9 @@
 void SourceFollower::OnSuccess(const RoutingBatch& batch) {
   this->failures = 0;
   // What another host passes on may be that old.
-  const state::TimePoint now = this->clock.Now();
-  this->heard_at = batch.is_passed_on ? now - SharedSource::kMaxAge : now;
+  const state::Duration least_age =
+      batch.is_passed_on ? SharedSource::kMaxAge : state::Duration(0);
+  this->heard_at = this->clock.Now() - std::max(batch.age, least_age);
   if (!this->is_lost) return;
   this->is_lost = false;
   this->regained_at = this->clock.Now();
--- a/test/coordination/delegation/passed_changes_property_test.cc
+++ b/test/coordination/delegation/passed_changes_property_test.cc
@@ -17,6 +17,9 @@
 constexpr int kSequences = 250;  // in CI
 constexpr int kHosts = 7;
 constexpr int kServers = 3;
+/// Longest wait at the source, and the time of a response: a response may be
+/// that old when it comes.
+constexpr state::Duration kCallTime = Milliseconds(4'500 + 1'000);
 /// Longer than a deferred return of a failure domain to service.
 constexpr state::Duration kSettling = Milliseconds(15'000);
 
@@ -220,6 +223,10 @@
     const PublishedLog::Content* held = this->fleet.log.At(snapshot.position);
     RC_ASSERT(held != nullptr);
     RC_ASSERT(Apply({}, snapshot) == *held);
+    if (snapshot.age < ChangeHistory::kUnconfirmedAge) {
+      RC_ASSERT(snapshot.position >=
+                this->fleet.log.PositionAt(now - snapshot.age - kCallTime));
+    }
     for (std::uint64_t before = 1; before <= snapshot.position.revision;
          ++before) {
       const state::SourcePosition after{before, snapshot.position.era};
--- a/test/coordination/delegation/shared_source_test.cc
+++ b/test/coordination/delegation/shared_source_test.cc
@@ -286,5 +286,31 @@
   CHECK(restarted.fixture.routes.Current()->Version() == 9);
 }
 
+// Guards against a host that reads, after a pause, a response from before it
+// and vouches for what it says as if it were new.
+TEST_CASE("A response that is read after a pause makes a view no fresher") {
+  for (const int hosts : {4, 7}) {
+    for (const char* id : {"h0", "h3"}) {
+      SharingFleet fleet(hosts);
+      fleet.Start();
+      fleet.Advance(Milliseconds(8'000));
+      SharingFleet::Host& host = fleet.At(id);
+      host.timers.Pause();
+      fleet.Write();
+      fleet.Advance(Milliseconds(10'000));
+      fleet.Write();
+      host.timers.Resume();
+      const state::TimePoint now = fleet.time.Now();
+      CHECK(host.history.Snapshot(now).age > SharedSource::kMaxAge);
+      REQUIRE(host.follower.Age(now).has_value());
+      CHECK(*host.follower.Age(now) > SharedSource::kMaxAge);
+      fleet.Advance(Milliseconds(3'000));
+      CHECK(fleet.CountKnowing(fleet.log.Position().revision) == hosts);
+      CHECK(*host.follower.Age(fleet.time.Now()) <=
+            SharedSource::kMaxAge + SharedSource::kWatcherWait);
+    }
+  }
+}
+
 }  // namespace
 }  // namespace banyanknot::coordination::routing_testing
