Read the platform from where it told all changes, not where peers did

What callers saw: nothing that is known. In the test a host that has just gone on after a pause believes that its view is confirmed, and sends new work to a failure domain that was taken out.

Cause: in own mode a host without a watch read the platform from the newest revision in its table. Peers pass entries on one by one and may leave some out, so that revision doesn't mean that older changes are known. The read skipped the missing one, and its success confirmed the view.

Evidence: with two changes of which a peer passed on the second, the host was fresh and held the first domain as in. Ruled out: watches, which have a cursor of their own, comparisons with peers, which cover all entries, and patches, whose base and result are checked.

Why the fix works: reads go on from the cursor that only answers of the platform move, so an answer holds all that the host lacks. The first read of a host that got its catalogue from peers is now whole.

Test: "A host that missed a change among its peers' is not made fresh" failed before and passes now; the other tests of the program, but those of quotas, pass, among them the reads at 570 hosts.

--- a/include/banyanknot/coordination/fleet/sparse_catalogue_follower.h
+++ b/include/banyanknot/coordination/fleet/sparse_catalogue_follower.h
@@ -46,6 +46,8 @@
   void Tick();
   bool TryBeginWatch(state::TimePoint now);
   bool TryBeginRead(state::TimePoint now);
+  /// \brief Returns the revision up to which the platform told all changes.
+  std::uint64_t Cursor();
   void StartWatch();
   void StartRead();
   void OnWatched(state::TimePoint asked_at, const RawUpdateResult& result);
@@ -65,7 +67,7 @@
   std::atomic<bool> has_read{false};
   std::atomic<state::Duration::rep> refreshed_at{0};
   std::mutex mutex;          // guards what follows
-  std::uint64_t cursor = 0;  // all changes up to it were read
+  std::uint64_t cursor = 0;  // all changes up to it came from the platform
   bool is_watching = false;
   state::TimePoint next_watch_at;  // earliest start of the next watch
   state::TimePoint next_read_at;   // when the next poll is due
--- a/src/coordination/fleet/sparse_catalogue_follower.cc
+++ b/src/coordination/fleet/sparse_catalogue_follower.cc
@@ -105,14 +105,15 @@
   return true;
 }
 
+std::uint64_t SparseCatalogueFollower::Cursor() {
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  return this->cursor;
+}
+
 void SparseCatalogueFollower::StartWatch() {
-  std::uint64_t since = 0;
-  {
-    const std::lock_guard<std::mutex> lock(this->mutex);
-    since = this->cursor;
-  }
   const state::TimePoint asked_at = this->clock.Now();
-  this->source.Watch(since, this->has_read ? kWatchTimeout : state::Duration(0),
+  this->source.Watch(this->Cursor(),
+                     this->has_read ? kWatchTimeout : state::Duration(0),
                      [this, asked_at](const RawUpdateResult& result) {
                        this->OnWatched(asked_at, result);
                      });
@@ -121,10 +122,6 @@
 void SparseCatalogueFollower::OnWatched(state::TimePoint asked_at,
                                         const RawUpdateResult& result) {
   const bool has_changes = this->ApplyResult(asked_at, result);
-  if (state::IsOk(result)) {
-    const std::lock_guard<std::mutex> lock(this->mutex);
-    this->cursor = std::max(this->cursor, state::ValueOf(result).revision);
-  }
   this->ScheduleNextWatch(asked_at, state::IsOk(result), has_changes);
   if (has_changes && this->IsWatcher() &&
       this->TryBeginWatch(this->clock.Now())) {
@@ -150,7 +147,8 @@
 
 void SparseCatalogueFollower::StartRead() {
   const state::TimePoint asked_at = this->clock.Now();
-  this->source.Read(this->table.MaxRevision(),
+  // Peers may have told of newer changes and not of older ones.
+  this->source.Read(this->Cursor(),
                     [this, asked_at](const RawUpdateResult& result) {
                       this->ApplyResult(asked_at, result);
                     });
@@ -162,6 +160,10 @@
   const RawUpdate& update = state::ValueOf(result);
   const bool has_changes =
       !this->intake.Apply(update.entries, kPlatform).empty();
+  {
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    this->cursor = std::max(this->cursor, update.revision);
+  }
   this->has_read = true;
   if (update.revision >= this->table.MaxRevision()) {
     this->contacts.RecordPlatform(asked_at);
--- a/test/coordination/fleet/pause_detector_test.cc
+++ b/test/coordination/fleet/pause_detector_test.cc
@@ -1,7 +1,10 @@
 #include "banyanknot/coordination/fleet/pause_detector.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <memory>
+#include <optional>
+#include <string>
 #include <vector>
 
 #include "coordination/fleet/support/fleet_host.h"
@@ -79,6 +82,44 @@
   CHECK(paused.TextOf("domain/d0") == "out");
 }
 
+// Guards against a read from the newest revision that peers told of, which
+// leaves out what they did not, and confirms the view all the same.
+TEST_CASE("A host that missed a change among its peers' is not made fresh") {
+  Fixture fixture(25);
+  std::vector<std::unique_ptr<FleetHost>>& hosts = fixture.fleet.hosts;
+  const auto found = std::find_if(hosts.begin(), hosts.end(),
+                                  [](const std::unique_ptr<FleetHost>& host) {
+                                    return !host->follower.IsWatcher();
+                                  });
+  REQUIRE(found != hosts.end());
+  FleetHost& paused = **found;
+  FleetHost& peer = *hosts[found == hosts.begin() ? 1 : 0];
+  paused.SetPaused(true);
+  fixture.fleet.network.is_cut = [&paused](const state::Endpoint& from,
+                                           const state::Endpoint& to) {
+    const std::string cut = state::ToText(paused.identity.self.peer);
+    return state::ToText(from) == cut || state::ToText(to) == cut;
+  };
+  fixture.fleet.platform.Put("domain/d0", "out");
+  fixture.fleet.platform.Put("domain/d1", "out");
+  fixture.fleet.Run(state::Milliseconds(4'000));
+  const std::optional<state::CatalogueRecord> second =
+      peer.catalogue.Find("domain/d1");
+  REQUIRE(second.has_value());
+  paused.anti_entropy.OnPeerMessage({peer.identity.self.id,
+                                     peer.identity.incarnation,
+                                     PeerPatches{{WholePatch(*second)}}});
+  paused.SetPaused(false);
+  state::Duration taken{0};
+  while (!paused.guard.IsFresh() && taken < state::Milliseconds(3'000)) {
+    fixture.fleet.Run(state::Milliseconds(10));
+    taken += state::Milliseconds(10);
+  }
+  CHECK(paused.guard.IsFresh());
+  CHECK(paused.TextOf("domain/d1") == "out");
+  CHECK(paused.TextOf("domain/d0") == "out");
+}
+
 TEST_CASE("A host that resumes isolated uses its own failure domain only") {
   Fixture fixture(24);
   FleetHost& paused = *fixture.fleet.hosts[4];
