Count the time of an exchange for the age of its adverts

What callers saw: nothing that is known. In the test all five other hosts still list a lost one after its advert's lifetime, on links of 200 ms.

Cause: the age of an advert was told as of its sending and counted from its arrival. Each host that passed it on made it younger, and the younger age holds.

Evidence: the test fails with links of 200 ms; on links of 1 ms the gain is a few milliseconds in a second. Ruled out: the lost host's own last message, for whose time the test allows.

Why the fix works: the time since the request was sent is added to the ages in its response, which is at least as long as they were on their way, so no age is ever told too low.

Test: "An advert grows older on its way from host to host" failed before (5 listed it) and passes now; the other tests of the program, but those of quotas, pass.

--- a/src/coordination/delegation/advert_exchange.cc
+++ b/src/coordination/delegation/advert_exchange.cc
@@ -108,7 +108,10 @@
        sent_at](const std::optional<std::vector<state::HostAdvert>>& adverts) {
         if (!adverts) return;
         const state::TimePoint now = this->clock.Now();
-        for (const state::HostAdvert& advert : *adverts) {
+        for (state::HostAdvert advert : *adverts) {
+          // How long the response was on its way isn't known; a lost host must
+          // not grow younger each time that it is passed on.
+          advert.age += now - sent_at;
           this->roster.Hear(advert, now);
           if (advert.endpoint == host) this->roster.Clear(advert.id, sent_at);
         }
--- a/test/coordination/delegation/advert_exchange_test.cc
+++ b/test/coordination/delegation/advert_exchange_test.cc
@@ -45,7 +45,7 @@
       ++this->calls;
       Host* const other = this->fleet.Reach(*this, host);
       this->fleet.time.RunAt(
-          this->fleet.time.Now() + Milliseconds(1),
+          this->fleet.time.Now() + this->fleet.delay,
           [this, other, own, handler = std::move(handler)] {
             if (other == nullptr) {
               handler(std::nullopt);
@@ -53,7 +53,10 @@
             }
             const state::TimePoint now = this->fleet.time.Now();
             other->roster.Hear(own, now);
-            handler(other->roster.Adverts(own.domain, other->is_ready, now));
+            this->fleet.time.RunAt(now + this->fleet.delay,
+                                   [handler, adverts = other->roster.Adverts(
+                                                 own.domain, other->is_ready,
+                                                 now)] { handler(adverts); });
           });
     }
 
@@ -103,8 +106,22 @@
     return served;
   }
 
+  /// Counts the other hosts that list one of their domain as alive.
+  int CountListing(const std::string& listed) {
+    int count = 0;
+    for (const auto& [id, host] : this->hosts) {
+      if (id == listed) continue;
+      for (const state::HostAdvert& advert : host->roster.Adverts(
+               host->roster.Own().domain, false, this->time.Now())) {
+        if (advert.id.Text() == listed) ++count;
+      }
+    }
+    return count;
+  }
+
   fleet_testing::VirtualTime time;
   FixedRandomSource random{5};
+  state::Duration delay = Milliseconds(1);  ///< of a message, one way
 
  private:
   std::vector<state::HostAdvert> adverts;
@@ -197,5 +214,20 @@
   CHECK(fleet.At("a0").calls == 0);
 }
 
+// Guards against hosts that keep the advert of a lost one alive between them,
+// each counting its age from when it came.
+TEST_CASE("An advert grows older on its way from host to host") {
+  AdvertFleet fleet;
+  fleet.delay = Milliseconds(200);
+  fleet.AddDomain("a", 2, 4);
+  fleet.Start({"a0", "a1", "a2"});
+  fleet.time.Advance(Milliseconds(8'000));
+  REQUIRE(fleet.CountListing("a0") == 5);
+  fleet.At("a0").is_up = false;
+  // Its last request may still be on its way.
+  fleet.time.Advance(GathererRoster::kLifetime + fleet.delay);
+  CHECK(fleet.CountListing("a0") == 0);
+}
+
 }  // namespace
 }  // namespace banyanknot::coordination::routing_testing
