--- a/test/coordination/delegation/passed_changes_property_test.cc
+++ b/test/coordination/delegation/passed_changes_property_test.cc
@@ -2,13 +2,13 @@
 
 #include <array>
 #include <catch2/catch.hpp>
-#include <cstdlib>
+#include <ostream>
 #include <set>
-#include <sstream>
 #include <string>
 #include <vector>
 
 #include "coordination/delegation/sharing_fleet.h"
+#include "support/seeded_property.h"
 
 namespace banyanknot::coordination::routing_testing {
 namespace {
@@ -277,29 +277,13 @@
 // what they heard from others, under a position at which the source never held
 // it.
 TEST_CASE("Hosts pass on what the source held at the position that they name") {
-  rc::detail::TestParams params;
-  params.seed = kSeed;
-  params.maxSuccess = kSequences;
-  if (const char* sequences = std::getenv("BANYANKNOT_SEQUENCES")) {
-    params.maxSuccess = std::atoi(sequences);
-  }
-  if (const char* seed = std::getenv("BANYANKNOT_SEED")) {
-    params.seed = std::strtoull(seed, nullptr, 10);
-  }
-  const rc::detail::TestResult result = rc::detail::checkTestable(
-      [] {
-        PassedChangesCheck check;
-        for (const Step& step :
-             *rc::gen::container<std::vector<Step>>(AnyStep())) {
-          check.Play(step);
-        }
-        check.Settle();
-      },
-      rc::detail::TestMetadata(), params);
-  std::ostringstream report;
-  rc::detail::printResultMessage(result, report);
-  INFO(report.str());
-  CHECK(result.is<rc::detail::SuccessResult>());
+  testing::CheckSeeded(kSeed, kSequences, [] {
+    PassedChangesCheck check;
+    for (const Step& step : *rc::gen::container<std::vector<Step>>(AnyStep())) {
+      check.Play(step);
+    }
+    check.Settle();
+  });
 }
 
 }  // namespace
--- a/test/coordination/fleet/support/fake_platform.h
+++ b/test/coordination/fleet/support/fake_platform.h
@@ -33,8 +33,17 @@
   }
 
   /// \brief Makes later replies show the present state, as a stale copy would.
-  void Freeze() { this->frozen = {this->revision, this->entries}; }
-  void Thaw() { this->frozen.reset(); }
+  void Freeze() {
+    this->Thaw();
+    this->frozen = {this->revision, this->entries};
+  }
+  /// \brief Ends that; the copy then answers the watches that waited at it.
+  void Thaw() {
+    if (!this->frozen) return;
+    const bool has_changes = this->frozen->first != this->revision;
+    this->frozen.reset();
+    if (has_changes) this->AnswerWatches();
+  }
 
   void SetDown(bool down) {
     this->is_down = down;
--- a/test/coordination/fleet/text_splices_test.cc
+++ b/test/coordination/fleet/text_splices_test.cc
@@ -7,6 +7,8 @@
 #include <string>
 #include <vector>
 
+#include "support/seeded_property.h"
+
 namespace banyanknot::coordination {
 namespace {
 
@@ -30,14 +32,11 @@
 }
 
 TEST_CASE("FindSplices and ApplySplices agree for any two texts") {
-  rc::detail::TestParams params;
-  params.seed = kSeed;
-  const rc::detail::TestResult result = rc::detail::checkTestable(
-      [](const std::string& base, const std::string& target) {
+  constexpr int kCases = 100;
+  testing::CheckSeeded(
+      kSeed, kCases, [](const std::string& base, const std::string& target) {
         RC_ASSERT(ApplySplices(base, FindSplices(base, target)) == target);
-      },
-      rc::detail::TestMetadata(), params);
-  CHECK(result.is<rc::detail::SuccessResult>());
+      });
 }
 
 TEST_CASE("FindSplices and ApplySplices agree for texts that share parts") {
