End calls whose request HTTP has no form for; refuse TRACE with content

Cause: the HTTP library throws where such a request is prepared for sending. The exception ended the handler and not the call, which kept its connection and the place of its request at the server for good.

Evidence: "handler failed: invalid request body" once a request; such a call of the pool has no result 20 s later, with a deadline of 5 s. Ruled out: the servers, which none of the requests reached.

Why the fix works: such a request is refused with 400 as it comes, and a call whose request can't be written ends as refused before its first byte, so that its place is free and no server is blamed.

--- a/include/banyanknot/transport/transport_error.h
+++ b/include/banyanknot/transport/transport_error.h
@@ -19,7 +19,8 @@
   kTimeout,    ///< no reply in time
   kExpired,    ///< cancelled or too late before the first byte
   kTooLarge,   ///< the message exceeds its size limit
-  kWithdrawn,  ///< refused by the call's own check before the first byte
+  kWithdrawn,  ///< refused before the first byte, by the call's own check or
+               ///< since HTTP has no form for it
   kClosed,     ///< this process is shutting down
 };
 
--- a/src/transport/client_connection.cc
+++ b/src/transport/client_connection.cc
@@ -247,8 +247,10 @@
 }
 
 void ClientConnection::WriteCheck() {
-  this->request = ToBeast({"GET", this->pool->options.check_target, ""},
-                          ToText(this->pool->endpoint));
+  if (!this->Prepare({"GET", this->pool->options.check_target, ""})) {
+    this->OnChecked(http::error::bad_target);
+    return;
+  }
   this->stream.expires_after(this->pool->options.check_timeout);
   http::async_write(
       this->stream, this->request,
@@ -291,6 +293,14 @@
   }
 }
 
+bool ClientConnection::Prepare(protocol::HttpRequest next) {
+  std::optional<http::request<http::string_body>> converted =
+      ToBeast(std::move(next), ToText(this->pool->endpoint));
+  if (!converted) return false;
+  this->request = std::move(*converted);
+  return true;
+}
+
 void ClientConnection::Write() {
   if (this->current->is_cancelled ||
       this->pool->clock.Now() >= this->current->call.send_before) {
@@ -300,14 +310,14 @@
     expired->handler(TransportError::kExpired);
     return;
   }
-  if (this->current->call.may_write && !this->current->call.may_write()) {
+  const bool is_allowed =
+      !this->current->call.may_write || this->current->call.may_write();
+  if (!is_allowed || !this->Prepare(std::move(this->current->call.request))) {
     const std::shared_ptr<PendingCall> withdrawn = std::move(this->current);
     this->ReturnToPool();
     withdrawn->handler(TransportError::kWithdrawn);
     return;
   }
-  this->request = ToBeast(std::move(this->current->call.request),
-                          ToText(this->pool->endpoint));
   this->stream.expires_never();
   this->written_at = this->pool->clock.Now();
   this->is_written = true;
--- a/src/transport/client_connection.h
+++ b/src/transport/client_connection.h
@@ -51,6 +51,8 @@
   void CheckOrWrite();
   void WriteCheck();
   void OnChecked(const boost::beast::error_code& error);
+  /// \brief Makes `next` the request to write; false if it can't be written.
+  bool Prepare(protocol::HttpRequest next);
   void Write();
   void Read();
   void ReadAnswer();
--- a/src/transport/http_convert.cc
+++ b/src/transport/http_convert.cc
@@ -2,6 +2,7 @@
 
 #include <boost/beast/http/field.hpp>
 #include <boost/beast/http/verb.hpp>
+#include <exception>
 #include <string>
 #include <utility>
 #include <vector>
@@ -28,26 +29,7 @@
   return headers;
 }
 
-}  // namespace
-
-protocol::HttpRequest FromBeast(http::request<http::string_body> request) {
-  protocol::HttpRequest converted;
-  converted.method = std::string(request.method_string());
-  converted.target = std::string(request.target());
-  converted.headers = HeadersOf(request);
-  converted.body = std::move(request.body());
-  return converted;
-}
-
-protocol::HttpResponse FromBeast(const http::response_header<>& head) {
-  protocol::HttpResponse converted;
-  converted.status = head.result_int();
-  converted.content_type = std::string(head[http::field::content_type]);
-  converted.headers = HeadersOf(head);
-  return converted;
-}
-
-http::request<http::string_body> ToBeast(protocol::HttpRequest request,
+http::request<http::string_body> Convert(protocol::HttpRequest request,
                                          const std::string& host) {
   http::request<http::string_body> converted;
   converted.version(kHttp11);
@@ -66,7 +48,7 @@
   return converted;
 }
 
-http::response<http::string_body> ToBeast(protocol::HttpResponse response,
+http::response<http::string_body> Convert(protocol::HttpResponse response,
                                           bool keep_alive) {
   http::response<http::string_body> converted;
   converted.version(kHttp11);
@@ -87,4 +69,41 @@
   return converted;
 }
 
+}  // namespace
+
+protocol::HttpRequest FromBeast(http::request<http::string_body> request) {
+  protocol::HttpRequest converted;
+  converted.method = std::string(request.method_string());
+  converted.target = std::string(request.target());
+  converted.headers = HeadersOf(request);
+  converted.body = std::move(request.body());
+  return converted;
+}
+
+protocol::HttpResponse FromBeast(const http::response_header<>& head) {
+  protocol::HttpResponse converted;
+  converted.status = head.result_int();
+  converted.content_type = std::string(head[http::field::content_type]);
+  converted.headers = HeadersOf(head);
+  return converted;
+}
+
+std::optional<http::request<http::string_body>> ToBeast(
+    protocol::HttpRequest request, const std::string& host) {
+  try {
+    return Convert(std::move(request), host);
+  } catch (const std::exception&) {  // the only way in which Beast says so
+    return std::nullopt;
+  }
+}
+
+std::optional<http::response<http::string_body>> ToBeast(
+    protocol::HttpResponse response, bool keep_alive) {
+  try {
+    return Convert(std::move(response), keep_alive);
+  } catch (const std::exception&) {
+    return std::nullopt;
+  }
+}
+
 }  // namespace banyanknot::transport::internal
--- a/src/transport/http_convert.h
+++ b/src/transport/http_convert.h
@@ -3,6 +3,8 @@
 
 #include <boost/beast/http/message.hpp>
 #include <boost/beast/http/string_body.hpp>
+#include <optional>
+#include <string>
 
 #include "banyanknot/protocol/http_message.h"
 
@@ -18,12 +20,14 @@
 
 /// \brief Converts a request to Beast. One without headers gets Host (`host`)
 /// and the content type application/json.
-boost::beast::http::request<boost::beast::http::string_body> ToBeast(
-    protocol::HttpRequest request, const std::string& host);
+/// \returns nothing for a request that Beast refuses to write
+std::optional<boost::beast::http::request<boost::beast::http::string_body>>
+ToBeast(protocol::HttpRequest request, const std::string& host);
 
 /// \brief Converts a response to Beast; Retry-After is rounded up to seconds.
-boost::beast::http::response<boost::beast::http::string_body> ToBeast(
-    protocol::HttpResponse response, bool keep_alive);
+/// \returns nothing for a response that Beast refuses to write
+std::optional<boost::beast::http::response<boost::beast::http::string_body>>
+ToBeast(protocol::HttpResponse response, bool keep_alive);
 
 }  // namespace banyanknot::transport::internal
 
--- a/src/transport/server_connection.cc
+++ b/src/transport/server_connection.cc
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <atomic>
 #include <boost/asio/post.hpp>
+#include <optional>
 #include <string_view>
 
 #include "transport/http_convert.h"
@@ -36,6 +37,12 @@
 /// After a refusal for memory.
 constexpr state::Duration kNoRoomRetryAfter = state::Milliseconds(1'000);
 
+/// HTTP forbids content in a TRACE request; a server that takes none would read
+/// it as the next request.
+bool HasForbiddenContent(const http::request<http::string_body>& request) {
+  return request.method() == http::verb::trace && !request.body().empty();
+}
+
 }  // namespace
 
 class ServerConnection::Exchange : public HttpExchange {
@@ -280,7 +287,8 @@
     this->Reject(400, kMalformedBody);
     return;
   }
-  if (!error && !HasUnambiguousLength(this->parser->get())) {
+  if (!error && (!HasUnambiguousLength(this->parser->get()) ||
+                 HasForbiddenContent(this->parser->get()))) {
     this->Reject(400, kMalformedBody);
     return;
   }
@@ -344,7 +352,13 @@
   this->keeps_alive = keep_alive && !answer.closes_connection &&
                       !this->server->is_shut_down &&
                       this->server->allows_keep_alive;
-  this->response = ToBeast(std::move(answer), this->keeps_alive);
+  std::optional<http::response<http::string_body>> converted =
+      ToBeast(std::move(answer), this->keeps_alive);
+  if (!converted) {
+    this->Close();
+    return;
+  }
+  this->response = std::move(*converted);
   this->OpenHold();
   this->hold->Hold(this->response.body().size() + kParserBytes, true);
   this->serializer.emplace(this->response);
--- a/test/platform/edge/edge_process_test.cc
+++ b/test/platform/edge/edge_process_test.cc
@@ -83,6 +83,24 @@
   CHECK(world.RunsOf("smuggled") == 0);
 }
 
+// Guards against requests of one caller that take all places of a service's
+// servers at this host for good.
+TEST_CASE("TRACE requests with a body cost ordinary callers nothing") {
+  EdgeWorld world;
+  const std::unique_ptr<EdgeProcess> edge = StartReady(world);
+  for (int number = 0; number < 40; ++number) {
+    RawCaller odd(edge->Callers());
+    CHECK(StatusOf(odd.Call("/once/1", "odd-" + std::to_string(number), "TRACE",
+                            "plan")) == 400);
+  }
+  RawCaller caller(edge->Callers());
+  for (int number = 0; number < 10; ++number) {
+    const std::string id = "fine-" + std::to_string(number);
+    CHECK(StatusOf(caller.Call("/once/1", id, "POST", "plan")) == 200);
+  }
+  CHECK(world.RunsOf("odd-0") == 0);
+}
+
 TEST_CASE("The configured limits on header and body size are enforced") {
   EdgeWorld world;
   const std::unique_ptr<EdgeProcess> edge = StartReady(world);
--- a/test/transport/http_connection_pool_test.cc
+++ b/test/transport/http_connection_pool_test.cc
@@ -414,5 +414,34 @@
   CHECK(fixture.server.Connections() > 1);
 }
 
+// Guards against a call that never ends, and holds its place for good, where
+// the HTTP library throws as its request is prepared.
+TEST_CASE("A call that HTTP has no form for ends, and others go on") {
+  PoolFixture fixture(
+      [](const ReceivedRequest&) { return ResponseMode::kAnswer; },
+      OptionsOf(1));
+  const std::vector<protocol::HttpRequest> requests{
+      {"TRACE", "/call", "plan"},
+      {"GET", "/call", "", {{"X", std::string(70'000, 'x')}}},
+  };
+  for (const protocol::HttpRequest& request : requests) {
+    for (int number = 0; number < 3; ++number) {
+      HttpCall call(AcceptAnyResponse);
+      call.request = request;
+      call.deadline = fixture.clock.Now() + Milliseconds(5'000);
+      call.send_before = call.deadline;
+      std::promise<HttpCallResult> ended;
+      fixture.pool.Call(std::move(call), [&ended](HttpCallResult result) {
+        ended.set_value(std::move(result));
+      });
+      const HttpCallResult result = PoolFixture::Await(ended.get_future());
+      REQUIRE_FALSE(state::IsOk(result));
+      CHECK(state::ErrorOf(result) == TransportError::kWithdrawn);
+    }
+  }
+  CHECK(fixture.CountOf("/call") == 0);
+  CHECK(state::IsOk(fixture.Run("x", Milliseconds(5'000))));
+}
+
 }  // namespace
 }  // namespace banyanknot::transport
--- a/test/transport/http_server_test.cc
+++ b/test/transport/http_server_test.cc
@@ -162,6 +162,13 @@
        "POST / HTTP/1.1\r\nTransfer-Encoding: gzip, chunked\r\n\r\n"
        "0\r\n\r\n",
        "HTTP/1.1 400 Bad Request"},
+      {"a TRACE request with a body",
+       "TRACE / HTTP/1.1\r\nContent-Length: 4\r\n\r\nplan",
+       "HTTP/1.1 400 Bad Request"},
+      {"a TRACE request with a body in chunks",
+       "TRACE / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
+       "4\r\nplan\r\n0\r\n\r\n",
+       "HTTP/1.1 400 Bad Request"},
       {"body too large", Post("/", std::string(5'000'000, 'x')),
        "HTTP/1.1 413 Payload Too Large"},
       {"declared length too large",
