Refuse a header field that the HTTP library can't keep

What callers saw: nothing that is known. In the test, with a limit of 200 KB for headers, a request with a field of 70 KB is never answered and its connection never closed.

Cause: the library throws for a field over 64 KiB while it parses; the exception ended the handler, and no read was left for the timeout to end.

Evidence: the connection is still open after 20 s, where the read timeout is 50 ms. Ruled out: responses of servers, whose heads are limited to 64 KiB.

Why the fix works: the exception counts as a head over the limit, which is answered with 431 and closed like any other.

Test: "A header field over 64 KiB is refused where the limit is greater" failed before and passes now.

--- a/src/transport/server_connection.cc
+++ b/src/transport/server_connection.cc
@@ -8,6 +8,7 @@
 #include <atomic>
 #include <boost/asio/post.hpp>
 #include <optional>
+#include <stdexcept>
 #include <string_view>
 
 #include "transport/http_convert.h"
@@ -235,7 +236,11 @@
 void ServerConnection::ParseMore() {
   beast::error_code error;
   while (!error && !this->parser->is_done() && this->buffer.size() > 0) {
-    this->buffer.consume(this->parser->put(this->buffer.data(), error));
+    try {
+      this->buffer.consume(this->parser->put(this->buffer.data(), error));
+    } catch (const std::length_error&) {  // thrown for a field over 64 KiB
+      error = http::error::header_limit;
+    }
   }
   if (error && error != http::error::need_more) {
     this->OnRead(error);
--- a/test/transport/http_server_test.cc
+++ b/test/transport/http_server_test.cc
@@ -193,6 +193,18 @@
   }
 }
 
+// Guards against a connection that is never answered or closed: the HTTP
+// library throws for a longer field, whatever the limit.
+TEST_CASE("A header field over 64 KiB is refused where the limit is greater") {
+  HttpServerLimits limits = SmallLimits();
+  limits.max_header_bytes = 200'000;
+  ServerFixture fixture(limits);
+  RawHttpClient caller(fixture.port);
+  caller.Write("GET / HTTP/1.1\r\nX: " + std::string(70'000, 'x') + "\r\n\r\n");
+  CHECK(FirstLine(caller.ReadAll()) ==
+        "HTTP/1.1 431 Request Header Fields Too Large");
+}
+
 TEST_CASE("An idle connection is closed after the idle timeout") {
   HttpServerLimits limits;
   limits.idle_timeout = state::Milliseconds(50);
