Free an answer's memory once it is written, not when its connection ends

Cause: after an answer was written, an empty one was assigned to it. The string of its body keeps its capacity then, while the account of what callers hold gets the bytes back. Each open connection kept the length of its longest answer, uncounted. Connections to servers kept their last request alike.

Evidence: the account shows 0 bytes meanwhile; 60 callers that read answers of 1 MB and stay bring a process told to have 32 MB to 72,024 kB. Ruled out: slow reading (callers that read at once and stay do the same) and answers that wait for their callers, which are in the account.

Why the fix works: between requests there is no answer, in place of an empty one. Destroying it frees its body, so that the account is right again.

Test: crowd_tests "Large answers that were read cost no memory on open connections" failed before (72,024 kB, bound 32,768) and passes now (11,520 kB).

--- a/src/transport/client_connection.cc
+++ b/src/transport/client_connection.cc
@@ -253,7 +253,7 @@
   }
   this->stream.expires_after(this->pool->options.check_timeout);
   http::async_write(
-      this->stream, this->request,
+      this->stream, *this->request,
       [self = this->shared_from_this()](const beast::error_code& error,
                                         std::size_t /*bytes*/) {
         if (error) {
@@ -294,11 +294,8 @@
 }
 
 bool ClientConnection::Prepare(protocol::HttpRequest next) {
-  std::optional<http::request<http::string_body>> converted =
-      ToBeast(std::move(next), ToText(this->pool->endpoint));
-  if (!converted) return false;
-  this->request = std::move(*converted);
-  return true;
+  this->request = ToBeast(std::move(next), ToText(this->pool->endpoint));
+  return this->request.has_value();
 }
 
 void ClientConnection::Write() {
@@ -324,7 +321,7 @@
   this->ArmTimer(
       std::min(this->current->call.deadline,
                this->written_at + this->pool->options.silence_timeout));
-  http::async_write(this->stream, this->request,
+  http::async_write(this->stream, *this->request,
                     [self = this->shared_from_this()](
                         const beast::error_code& error, std::size_t /*bytes*/) {
                       if (error) {
@@ -400,7 +397,7 @@
       this->current == nullptr ? kMaxCheckResponseBytes
                                : this->current->call.max_response_bytes;
   this->reader.Read(
-      max_body_bytes, this->request.method() != http::verb::head,
+      max_body_bytes, this->request->method() != http::verb::head,
       [self = this->shared_from_this(),
        handler = std::move(handler)](const beast::error_code& error) {
         self->ReportIfMalformed(error);
@@ -460,6 +457,7 @@
 }
 
 void ClientConnection::ReturnToPool() {
+  this->request.reset();
   this->stream.expires_never();
   const std::shared_ptr<PendingCall> next =
       this->pool->OnCallFinished(this->shared_from_this());
--- a/src/transport/client_connection.h
+++ b/src/transport/client_connection.h
@@ -84,7 +84,9 @@
   state::TimePoint written_at;  // of the current call
   bool is_written = false;
   ResponseReader reader;
-  boost::beast::http::request<boost::beast::http::string_body> request;
+  /// Absent, not empty, between calls: an assigned one keeps its memory.
+  std::optional<boost::beast::http::request<boost::beast::http::string_body>>
+      request;
   unsigned misplaced_responses = 0;  // discarded for the current call
   std::shared_ptr<PendingCall> current;
   std::atomic<state::Duration::rep> last_reply_at{0};
--- a/src/transport/server_connection.cc
+++ b/src/transport/server_connection.cc
@@ -357,16 +357,14 @@
   this->keeps_alive = keep_alive && !answer.closes_connection &&
                       !this->server->is_shut_down &&
                       this->server->allows_keep_alive;
-  std::optional<http::response<http::string_body>> converted =
-      ToBeast(std::move(answer), this->keeps_alive);
-  if (!converted) {
+  this->response = ToBeast(std::move(answer), this->keeps_alive);
+  if (!this->response) {
     this->Close();
     return;
   }
-  this->response = std::move(*converted);
   this->OpenHold();
-  this->hold->Hold(this->response.body().size() + kParserBytes, true);
-  this->serializer.emplace(this->response);
+  this->hold->Hold(this->response->body().size() + kParserBytes, true);
+  this->serializer.emplace(*this->response);
   this->stream.expires_after(this->server->Limits().write_timeout);
   this->WriteMore();
 }
@@ -382,7 +380,7 @@
           self->OnWritten();
         } else {
           // The caller takes its response: progress.
-          self->hold->Hold(self->response.body().size() + kParserBytes, true);
+          self->hold->Hold(self->response->body().size() + kParserBytes, true);
           self->WriteMore();
         }
       });
@@ -391,7 +389,7 @@
 void ServerConnection::OnWritten() {
   this->is_writing = false;
   this->serializer.reset();
-  this->response = {};
+  this->response.reset();
   this->hold.reset();
   if (this->is_rejected) {
     this->DiscardUntilClosed();
--- a/src/transport/server_connection.h
+++ b/src/transport/server_connection.h
@@ -133,7 +133,9 @@
   std::optional<
       boost::beast::http::request_parser<boost::beast::http::string_body>>
       parser;
-  boost::beast::http::response<boost::beast::http::string_body> response;
+  /// Absent, not empty, between requests: an assigned one keeps its memory.
+  std::optional<boost::beast::http::response<boost::beast::http::string_body>>
+      response;
   std::optional<
       boost::beast::http::response_serializer<boost::beast::http::string_body>>
       serializer;
--- a/test/crowd/edge_crowd_test.cc
+++ b/test/crowd/edge_crowd_test.cc
@@ -186,6 +186,25 @@
   world.CheckSound();
 }
 
+// Guards against connections that keep the memory of their longest answer,
+// outside of all accounts, for as long as they are open.
+TEST_CASE("Large answers that were read cost no memory on open connections") {
+  CrowdWorld world;
+  const ServerStandIn large("d1", std::string(1u << 20, 'a'));
+  world.world.Register(large);
+  world.world.Store().Delete(std::string(platform::wire::kServerPrefix) + "d2");
+  world.Start();
+  std::vector<std::unique_ptr<RawCaller>> callers;
+  for (int count = 0; count < 60; ++count) {
+    callers.push_back(std::make_unique<RawCaller>(world.edge.Callers()));
+    CHECK(WaitFor([&callers] {
+      return StatusOf(callers.back()->Call("/desk/1", "read")) == 200;
+    }));
+  }
+  world.CheckSound();
+  CHECK(world.ServesOrdinaryRequests());
+}
+
 TEST_CASE("Idle connections at each listener leave room for others") {
   for (const std::string listener : {"callers", "ready", "metrics", "peers"}) {
     INFO(listener);
