Refuse an answer whose body goes on in another answer to the same call

Cause: the length of the first answer counts the bytes after the break as its body. Heads were looked through for a second status line, bodies weren't.

Evidence: "HTTP/1.1 200 OK" and the copy's fields stand in the bodies. Ruled out as signs: bytes left over (a second answer after a complete one is allowed), and a status line alone (a body may quote one).

Why the fix works: the copy names the call. A response is lost if a status line begins within its body and the fields after it, read on into the bytes behind the body, are those of an answer to the same call. Calls whose answers don't identify them aren't looked through.

--- a/include/banyanknot/transport/http_connection_pool.h
+++ b/include/banyanknot/transport/http_connection_pool.h
@@ -39,7 +39,8 @@
   std::size_t max_response_bytes = 64u << 20;  ///< of the body
   /// A response that it rejects is discarded and never reaches the handler,
   /// which gets the next one on the connection that it accepts. The connection
-  /// is then closed.
+  /// is then closed. Unless it accepts even a response without fields, one in
+  /// whose body the head of another answer stands was broken off: kLost.
   ResponseFilter is_answer;
   /// Asked immediately before the first byte is written; on false the call
   /// fails with kWithdrawn. May be empty.
--- a/src/transport/client_connection.cc
+++ b/src/transport/client_connection.cc
@@ -396,13 +396,22 @@
   const std::size_t max_body_bytes =
       this->current == nullptr ? kMaxCheckResponseBytes
                                : this->current->call.max_response_bytes;
-  this->reader.Read(
-      max_body_bytes, this->request->method() != http::verb::head,
-      [self = this->shared_from_this(),
-       handler = std::move(handler)](const beast::error_code& error) {
-        self->ReportIfMalformed(error);
-        handler(error);
-      });
+  this->reader.Read(max_body_bytes, this->request->method() != http::verb::head,
+                    [self = this->shared_from_this(),
+                     handler = std::move(handler)](beast::error_code error) {
+                      if (!error && self->IsSpliced()) {
+                        error = http::make_error_code(http::error::bad_value);
+                      }
+                      self->ReportIfMalformed(error);
+                      handler(error);
+                    });
+}
+
+bool ClientConnection::IsSpliced() const {
+  if (this->current == nullptr) return false;
+  const ResponseFilter& is_answer = this->current->call.is_answer;
+  return !is_answer(protocol::HttpResponse{}) &&
+         this->reader.HoldsAnswer(is_answer);
 }
 
 void ClientConnection::ReportIfMalformed(const beast::error_code& error) {
--- a/src/transport/client_connection.h
+++ b/src/transport/client_connection.h
@@ -73,6 +73,9 @@
   bool IsClosedByServer();
   TransportError ConnectError(const boost::beast::error_code& error) const;
   void ReadResponse(ResponseReader::Handler handler);
+  /// Tells whether an answer to the call broke off and the next one on the
+  /// connection was read as the rest of it: servers send some twice.
+  bool IsSpliced() const;
   void ReportIfMalformed(const boost::beast::error_code& error);
 
   const std::shared_ptr<PoolCore> pool;
--- a/src/transport/message_head.cc
+++ b/src/transport/message_head.cc
@@ -1,5 +1,6 @@
 #include "transport/message_head.h"
 
+#include <algorithm>
 #include <boost/beast/core/string.hpp>
 
 namespace banyanknot::transport::internal {
@@ -33,6 +34,23 @@
   return false;
 }
 
+std::size_t FindStatusLine(std::string_view text, std::size_t from) {
+  constexpr std::string_view kVersion = "HTTP/1.";
+  const auto is_digit = [](char letter) {
+    return letter >= '0' && letter <= '9';
+  };
+  for (std::size_t at = text.find(kVersion, from); at != std::string_view::npos;
+       at = text.find(kVersion, at + 1)) {
+    const std::string_view rest = text.substr(at + kVersion.size());
+    // The minor version, a blank and the status.
+    if (rest.size() >= 5 && is_digit(rest[0]) && rest[1] == ' ' &&
+        std::all_of(rest.begin() + 2, rest.begin() + 5, is_digit)) {
+      return at;
+    }
+  }
+  return std::string_view::npos;
+}
+
 bool HasUnambiguousLength(const http::fields& header) {
   const auto encodings = header.equal_range(http::field::transfer_encoding);
   if (encodings.first == encodings.second) return true;
--- a/src/transport/message_head.h
+++ b/src/transport/message_head.h
@@ -27,6 +27,10 @@
 ///     some of the body
 bool HasFoldedField(std::string_view unparsed);
 
+/// \brief Returns where in `text`, at `from` or later, a status line begins,
+/// with version and status at least; npos if none does.
+std::size_t FindStatusLine(std::string_view text, std::size_t from = 0);
+
 /// \brief Tells whether the body length is unambiguous to all HTTP
 /// implementations: no Transfer-Encoding, or chunked alone and no
 /// Content-Length.
--- a/src/transport/response_reader.cc
+++ b/src/transport/response_reader.cc
@@ -3,8 +3,10 @@
 #include <algorithm>
 #include <boost/asio/error.hpp>
 #include <boost/beast/core/read_size.hpp>
+#include <boost/beast/http/empty_body.hpp>
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/status.hpp>
+#include <string>
 #include <string_view>
 #include <utility>
 
@@ -19,6 +21,8 @@
 
 namespace {
 
+/// Version and status, with the blank between them.
+constexpr std::size_t kStatusLineBytes = 12;
 /// Several times the size of the header that servers send.
 constexpr std::uint32_t kMaxHeaderBytes = 64u << 10;
 /// Of unparsed input: a whole header, and the rest of a read after it. Also
@@ -45,34 +49,28 @@
          head.result_int() <= kLastStatus;
 }
 
-/// Tells whether `text` holds the beginning of a status line.
-bool HoldsStatusLine(beast::string_view text) {
-  constexpr beast::string_view kVersion = "HTTP/1.";
-  const auto is_digit = [](char letter) {
-    return letter >= '0' && letter <= '9';
-  };
-  for (std::size_t at = text.find(kVersion); at != beast::string_view::npos;
-       at = text.find(kVersion, at + 1)) {
-    const beast::string_view rest = text.substr(at + kVersion.size());
-    // The minor version, a blank and the status.
-    if (rest.size() >= 5 && is_digit(rest[0]) && rest[1] == ' ' &&
-        std::all_of(rest.begin() + 2, rest.begin() + 5, is_digit)) {
-      return true;
-    }
-  }
-  return false;
-}
-
 /// Tells whether the head of one response broke off and the next response was
 /// read as the rest of it.
 bool IsTwoHeads(const http::response_header<>& head) {
-  return HoldsStatusLine(head.reason()) ||
+  const auto holds_status_line = [](beast::string_view text) {
+    return FindStatusLine({text.data(), text.size()}) != std::string_view::npos;
+  };
+  return holds_status_line(head.reason()) ||
          std::any_of(head.begin(), head.end(),
-                     [](const http::fields::value_type& field) {
-                       return HoldsStatusLine(field.value());
+                     [&](const http::fields::value_type& field) {
+                       return holds_status_line(field.value());
                      });
 }
 
+/// Reads the fields of a head as far as they have arrived.
+protocol::HttpResponse ReadHead(std::string_view text) {
+  http::response_parser<http::empty_body> parser;
+  parser.header_limit(kMaxHeaderBytes);
+  beast::error_code ignored;  // the fields before the error count
+  parser.put(asio::buffer(text), ignored);
+  return FromBeast(parser.get().base());
+}
+
 }  // namespace
 
 ResponseReader::ResponseReader(beast::tcp_stream& stream,
@@ -96,6 +94,31 @@
   return std::move(this->response);
 }
 
+bool ResponseReader::HoldsAnswer(
+    const std::function<bool(const protocol::HttpResponse&)>& is_answer) const {
+  const std::string_view body = this->parser->get().body();
+  const std::string_view after = this->BufferedBytes();
+  std::size_t from = FindStatusLine(body);
+  if (from == std::string_view::npos) {
+    if (after.empty()) return false;
+    // One that begins in the last bytes goes on in those after the body.
+    from = body.size() - std::min(body.size(), kStatusLineBytes - 1);
+  }
+  const std::string text = std::string(body.substr(from)).append(after);
+  const std::size_t body_end = body.size() - from;
+  // Each head ends where the next one begins, so that no byte is read twice.
+  std::size_t at = FindStatusLine(text);
+  while (at < body_end) {
+    const std::size_t next = FindStatusLine(text, at + 1);
+    const std::size_t bytes = std::min<std::size_t>(next - at, kMaxHeaderBytes);
+    if (is_answer(ReadHead(std::string_view(text).substr(at, bytes)))) {
+      return true;
+    }
+    at = next;
+  }
+  return false;
+}
+
 void ResponseReader::StartParser() {
   this->parser.emplace();
   this->parser->body_limit(this->max_body_bytes);
--- a/src/transport/response_reader.h
+++ b/src/transport/response_reader.h
@@ -49,6 +49,13 @@
   /// \brief Tells whether bytes after the response have arrived.
   bool HasMoreBytes() const { return this->buffer.size() > 0; }
 
+  /// \brief Tells whether the body of the response read last holds the head of
+  /// another response, of which the bytes that arrived so far satisfy
+  /// `is_answer`.
+  /// \param is_answer gets the fields, without status and body
+  bool HoldsAnswer(const std::function<bool(const protocol::HttpResponse&)>&
+                       is_answer) const;
+
   /// \brief Releases the share of the receive budget.
   void ReleaseBudget() { this->reservation.Clear(); }
 
