Forward at once that a cold instance has taken a server's place

What callers saw: nothing that is known; the server did.

Cause: the host that got that reply told the others with its heartbeats only. Until then they took the server for warm. Only that a server is leaving was forwarded at once.

Evidence: the stand-in's times beside the hosts' log, in two failed runs. One host sees the new instance at 56.937 s, the second hears of it by its peer at 57.042 s, the third by its own reply at 57.098 s. Ruled out: hosts without a processor, as was suspected; the second handled another message at 57.000 s.

Why the fix works: each host that hears first that an instance is cold forwards it at once. Other phases still go with heartbeats, so that a failure domain that comes back costs no burst of messages.

--- a/include/banyanknot/coordination/fleet/gossip_server_update_channel.h
+++ b/include/banyanknot/coordination/fleet/gossip_server_update_channel.h
@@ -19,9 +19,10 @@
 
 /// \brief Gossips the phases of backend servers between hosts.
 ///
-/// Thread-safe. An update on a leaving server is forwarded immediately by each
-/// host that receives it for the first time, and with heartbeats; others with
-/// heartbeats only. An update without new information is dropped.
+/// Thread-safe. What other hosts must not learn late, that a server is leaving
+/// or that a cold instance has taken its place, is forwarded immediately by
+/// each host that receives it for the first time, and with heartbeats; other
+/// updates with heartbeats only. An update without new information is dropped.
 class GossipServerUpdateChannel : public ServerUpdateChannel,
                                   public ServerUpdateSource,
                                   public PeerHandler {
@@ -48,8 +49,11 @@
     state::TimePoint entered_at;
   };
 
-  bool ApplyUpdate(const ServerUpdate& update);
-  void ForwardIfLeaving(const ServerUpdate& update, const state::HostId& from);
+  /// How an update goes on to other hosts.
+  enum class Spread { kNone, kWithHeartbeats, kAtOnce };
+
+  Spread ApplyUpdate(const ServerUpdate& update);
+  void Forward(const ServerUpdate& update, const state::HostId& from);
   void HandleUpdates(const std::vector<ServerUpdate>& received,
                      const state::HostId& from);
 
--- a/include/banyanknot/coordination/server_update_channel.h
+++ b/include/banyanknot/coordination/server_update_channel.h
@@ -15,8 +15,8 @@
 
   /// \brief Publishes an observation of this host.
   ///
-  /// An update on a leaving server is sent to some peers immediately, any other
-  /// with the next heartbeats.
+  /// That a server is leaving, or a cold instance has taken its place, is sent
+  /// to some peers immediately, any other update with the next heartbeats.
   virtual void Publish(const ServerUpdate& update) = 0;
 
   /// \brief Registers a listener for the updates of other hosts.
--- a/src/coordination/fleet/gossip_server_update_channel.cc
+++ b/src/coordination/fleet/gossip_server_update_channel.cc
@@ -43,8 +43,8 @@
       budget(budget) {}
 
 void GossipServerUpdateChannel::Publish(const ServerUpdate& update) {
-  if (this->ApplyUpdate(update)) {
-    this->ForwardIfLeaving(update, this->view.Self().self.id);
+  if (this->ApplyUpdate(update) == Spread::kAtOnce) {
+    this->Forward(update, this->view.Self().self.id);
   }
 }
 
@@ -53,7 +53,8 @@
   this->listeners.push_back(&listener);
 }
 
-bool GossipServerUpdateChannel::ApplyUpdate(const ServerUpdate& update) {
+GossipServerUpdateChannel::Spread GossipServerUpdateChannel::ApplyUpdate(
+    const ServerUpdate& update) {
   const state::TimePoint now = this->clock.Now();
   const state::TimePoint entered_at = now - update.age;
   if (this->latest_phases.Size() > kMaxInstances) {
@@ -62,25 +63,30 @@
           return now - latest.entered_at > kPhaseRetention;
         });
   }
-  const bool is_new =
+  const Spread spread =
       this->latest_phases.Update(KeyOf(update), [&](LatestPhase& latest) {
         if (latest.is_set && (latest.phase == update.phase ||
                               latest.phase == state::ServerPhase::kLeaving)) {
-          return false;
+          return Spread::kNone;
         }
-        const bool is_older = latest.is_set && entered_at < latest.entered_at &&
-                              update.phase != state::ServerPhase::kLeaving;
-        if (is_older) return false;
+        const bool is_leaving = update.phase == state::ServerPhase::kLeaving;
+        const bool is_older =
+            latest.is_set && entered_at < latest.entered_at && !is_leaving;
+        if (is_older) return Spread::kNone;
+        const bool is_new_instance =
+            !latest.is_set && update.phase == state::ServerPhase::kCold;
         latest = {update.phase, entered_at, true};
-        return true;
+        return is_leaving || is_new_instance ? Spread::kAtOnce
+                                             : Spread::kWithHeartbeats;
       });
-  if (is_new) this->queue.Add(KeyOf(update), {update, entered_at});
-  return is_new;
+  if (spread != Spread::kNone) {
+    this->queue.Add(KeyOf(update), {update, entered_at});
+  }
+  return spread;
 }
 
-void GossipServerUpdateChannel::ForwardIfLeaving(const ServerUpdate& update,
-                                                 const state::HostId& from) {
-  if (update.phase != state::ServerPhase::kLeaving) return;
+void GossipServerUpdateChannel::Forward(const ServerUpdate& update,
+                                        const state::HostId& from) {
   const PeerMessage message = PeerUpdates{{}, {update}};
   for (const state::HostRecord& host : this->selector.PickGossipTargets(from)) {
     this->budget.Charge(EstimateSize(message));
@@ -108,8 +114,9 @@
 void GossipServerUpdateChannel::HandleUpdates(
     const std::vector<ServerUpdate>& received, const state::HostId& from) {
   for (const ServerUpdate& update : received) {
-    if (!this->ApplyUpdate(update)) continue;
-    this->ForwardIfLeaving(update, from);
+    const Spread spread = this->ApplyUpdate(update);
+    if (spread == Spread::kNone) continue;
+    if (spread == Spread::kAtOnce) this->Forward(update, from);
     std::vector<ServerUpdateListener*> subscribers;
     {
       const std::lock_guard<std::mutex> lock(this->listeners_mutex);
--- a/test/coordination/fleet/gossip_server_update_channel_test.cc
+++ b/test/coordination/fleet/gossip_server_update_channel_test.cc
@@ -67,6 +67,23 @@
   }
 }
 
+// Guards against hosts that go on sending a cold server what a warm one takes.
+TEST_CASE(
+    "A cold instance is known to all hosts before their next heartbeats") {
+  const state::Duration bound = state::Milliseconds(50);
+  for (const std::uint64_t seed : {44, 45, 46}) {
+    INFO(seed);
+    Fixture fixture(9, seed);
+    fixture.fleet.hosts[0]->server_updates.Publish(
+        ServerUpdateOf(state::ServerPhase::kWarm, "i1"));
+    fixture.fleet.Run(state::Milliseconds(20'000));
+    REQUIRE(fixture.HasReachedOthers(1));
+    fixture.fleet.hosts[0]->server_updates.Publish(
+        ServerUpdateOf(state::ServerPhase::kCold, "i2"));
+    CHECK(fixture.RunUntilReached(2, bound) <= bound);
+  }
+}
+
 TEST_CASE("Each listener receives a phase once, and leaving is final") {
   Fixture fixture(9, 42);
   fixture.fleet.hosts[0]->server_updates.Publish(
