Tests: three properties fail where they don't hold

rc::check says whether its property held and fails nothing by itself. Three tests ignored what it said, so that only a crash could fail them: the greatest records of a gather, and the decoding of arbitrary adverts and entries.

--- a/test/coordination/routing/gather_test.cc
+++ b/test/coordination/routing/gather_test.cc
@@ -166,7 +166,7 @@
 }
 
 TEST_CASE("The greatest records are kept, including duplicates") {
-  rc::check([](const std::vector<std::string>& texts) {
+  CHECK(rc::check([](const std::vector<std::string>& texts) {
     TopRecordMerger merger(5);
     std::vector<std::string> all;
     for (const std::string& text : texts) {
@@ -193,7 +193,7 @@
       expected += all[at];
     }
     RC_ASSERT(merger.Merged() == expected);
-  });
+  }));
 }
 
 }  // namespace
--- a/test/platform/entry_decoder_test.cc
+++ b/test/platform/entry_decoder_test.cc
@@ -345,7 +345,7 @@
 }
 
 TEST_CASE("Decoding arbitrary bytes never ends the process") {
-  rc::check([](const std::string& bytes) {
+  CHECK(rc::check([](const std::string& bytes) {
     DecodeServer("i", bytes);
     DecodeRoutes(bytes);
     json item;
@@ -353,7 +353,7 @@
     item["Value"] = json(std::vector<std::uint8_t>(bytes.begin(), bytes.end()));
     DecodeItem(item);
     DecodeItem(json(static_cast<int>(bytes.size())));
-  });
+  }));
 }
 
 }  // namespace
--- a/test/protocol/fleet_codec_test.cc
+++ b/test/protocol/fleet_codec_test.cc
@@ -206,7 +206,7 @@
 }
 
 TEST_CASE("Decoding arbitrary adverts never ends the process") {
-  rc::check([](const std::string& bytes) { DecodeAdverts(bytes); });
+  CHECK(rc::check([](const std::string& bytes) { DecodeAdverts(bytes); }));
 }
 
 }  // namespace
